Catch SIGHUP and move the watch; answer bad clients with errors

Reading front: a silent client lived 30 s, a missing id and a deadline that is no number were passed on, bytes behind a request became the next one. Checked: no handler for SIGHUP in cmd/piernotch/main.go; ROUTER_DISCOVERY went before the file also when it is read again (internal/config). Ruled out: a loss by the watch itself, which the log shows going on up to the signal. Changed: signals are caught first; config.Reload lets the file's discovery win; the watch moves, asks for the whole list, and ignores what the old address still says. front gives silent, half-sent and idle connections times of their own and answers no id, an open id, bad deadlines, surplus bytes and bodies on GET with an error. The mailbox between poller and owner is bounded in bytes: it was 1,024 pieces of up to 32 KB, more than the smallest memory limit.

--- a/cmd/piernotch/main.go
+++ b/cmd/piernotch/main.go
@@ -24,6 +24,9 @@
 }
 
 func run() error {
+	// Before anything else: left alone, a SIGHUP or SIGTERM ends the program.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 	slog.SetDefault(slog.New(&limiter{Handler: slog.NewTextHandler(os.Stderr, nil)}))
 	signal.Ignore(syscall.SIGPIPE) // whoever reads the log may go; the service stays
 	cfg, err := config.Load(os.Getenv)
@@ -37,14 +40,19 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	if err := n.Start(); err != nil {
 		return err
 	}
 	go func() {
-		<-signals
-		n.Terminate()
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				n.Terminate()
+			} else if cfg, err := config.Reload(os.Getenv); err != nil {
+				slog.Error("configuration not taken, the old one stands", "err", err)
+			} else {
+				n.Reload(cfg)
+			}
+		}
 	}()
 	n.Run(context.Background())
 	return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,6 +56,17 @@
 	return parse(data, getenv)
 }
 
+// Reload reads the file again while the program runs. ROUTER_DISCOVERY was for the
+// start: a file that names another address now must win over it.
+func Reload(getenv func(string) string) (Config, error) {
+	return Load(func(name string) string {
+		if name == "ROUTER_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
 func parse(data []byte, getenv func(string) string) (Config, error) {
 	var in fileJSON
 	if err := json.Unmarshal(data, &in); err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,6 +34,7 @@
 	// Arrived is a client's request, owed one final answer from here on.
 	Arrived struct {
 		Client   Client
+		ID       string // the client's own name for it, unique while it is open
 		Message  any
 		Class    int
 		Key      uint64
@@ -62,6 +63,8 @@
 	}
 	// Ticked is the passing of time.
 	Ticked struct{}
+	// Moved says that discovery is at another address from now on.
+	Moved struct{ Discovery string }
 	// Terminate asks the balancer to end once nothing is owed.
 	Terminate struct{}
 )
@@ -73,6 +76,7 @@
 func (Probed) event()     {}
 func (Members) event()    {}
 func (Ticked) event()     {}
+func (Moved) event()      {}
 func (Terminate) event()  {}
 
 // Member is one feed server as discovery lists it.
@@ -114,6 +118,9 @@
 	}
 	// Watch subscribes to discovery.
 	Watch struct{}
+	// MoveWatch has the whole list asked for at another address, and the watch go
+	// on from there.
+	MoveWatch struct{ Address string }
 	// Forget closes idle connections to an address.
 	Forget struct{ Address string }
 	// StopListening ends the taking of new work.
@@ -128,6 +135,7 @@
 func (Reply) effect()         {}
 func (Probe) effect()         {}
 func (Watch) effect()         {}
+func (MoveWatch) effect()     {}
 func (Forget) effect()        {}
 func (StopListening) effect() {}
 func (Exit) effect()          {}
@@ -140,6 +148,7 @@
 	Served Verdict = iota
 	Refused
 	Failed
+	Rejected // never taken: the id is that of another open request
 )
 
 // LameDuck is how long after a Terminate new work is still taken: clients hear
@@ -156,6 +165,7 @@
 
 type request struct {
 	id       piernotch.RequestID
+	name     string // the client's id
 	client   Client
 	message  any
 	deadline time.Duration
@@ -176,22 +186,24 @@
 
 // Core is the reducer. It must be used from one goroutine.
 type Core struct {
-	set      piernotch.Settings
-	balancer *piernotch.Balancer
-	now      time.Duration
-	wheel    *wheel.Wheel
-	effects  []Effect
-	pending  []func() // what the module is to hear after its present call
-	lastID   piernotch.RequestID
-	requests map[piernotch.RequestID]*request
-	clients  map[Client]*request
-	backends map[piernotch.BackendID]*backend
-	names    map[string]*backend
-	listed   bool
-	probes   map[piernotch.BackendID]*wheel.Timer
-	ending   bool
-	closed   bool // no longer listening
-	Counts   Counts
+	set       piernotch.Settings
+	balancer  *piernotch.Balancer
+	now       time.Duration
+	wheel     *wheel.Wheel
+	effects   []Effect
+	pending   []func() // what the module is to hear after its present call
+	lastID    piernotch.RequestID
+	requests  map[piernotch.RequestID]*request
+	clients   map[Client]*request
+	ids       map[string]struct{} // clients' ids of what is owed an answer
+	backends  map[piernotch.BackendID]*backend
+	names     map[string]*backend
+	listed    bool
+	discovery string // its address
+	probes    map[piernotch.BackendID]*wheel.Timer
+	ending    bool
+	closed    bool // no longer listening
+	Counts    Counts
 }
 
 // Counts are running totals, for the log.
@@ -200,10 +212,11 @@
 }
 
 // New returns a reducer that starts at now with no feed servers.
-func New(set piernotch.Settings, seed uint64, now time.Duration) (*Core, error) {
+func New(set piernotch.Settings, seed uint64, now time.Duration, discovery string) (*Core, error) {
 	c := &Core{
-		set: set, now: now, wheel: wheel.New(Tick, now),
+		set: set, now: now, discovery: discovery, wheel: wheel.New(Tick, now),
 		requests: map[piernotch.RequestID]*request{}, clients: map[Client]*request{},
+		ids:      map[string]struct{}{},
 		backends: map[piernotch.BackendID]*backend{}, names: map[string]*backend{},
 		probes: map[piernotch.BackendID]*wheel.Timer{},
 	}
@@ -232,7 +245,7 @@
 	c.reduce(ev)
 	for len(c.pending) > 0 {
 		f := c.pending[0]
-		c.pending = c.pending[1:]
+		c.pending = c.pending[:copy(c.pending, c.pending[1:])]
 		f()
 	}
 	if c.closed && len(c.clients) == 0 {
@@ -270,6 +283,12 @@
 		c.members(ev)
 	case Ticked:
 		c.wheel.Advance(c.now)
+	case Moved:
+		// What is known stays until the new address has told the whole list.
+		if ev.Discovery != c.discovery {
+			c.discovery = ev.Discovery
+			c.do(MoveWatch{ev.Discovery})
+		}
 	case Terminate:
 		if !c.ending {
 			c.ending = true
@@ -282,9 +301,16 @@
 }
 
 func (c *Core) arrived(ev Arrived) {
+	// Two open requests of one id would be one request to the feed servers: a copy
+	// that nobody ordered, and an answer that could be either's.
+	if _, open := c.ids[ev.ID]; open && ev.ID != "" {
+		c.do(Reply{Client: ev.Client, Verdict: Rejected, Close: c.ending})
+		return
+	}
+	c.ids[ev.ID] = struct{}{}
 	c.lastID++
 	c.Counts.Taken++
-	r := &request{id: c.lastID, client: ev.Client, message: ev.Message, deadline: ev.Deadline, last: piernotch.Moot}
+	r := &request{id: c.lastID, name: ev.ID, client: ev.Client, message: ev.Message, deadline: ev.Deadline, last: piernotch.Moot}
 	c.requests[r.id], c.clients[r.client] = r, r
 	// The module's own time-outs end at the deadline; this comes a tick later, for
 	// whatever it has left unanswered even so.
@@ -312,6 +338,7 @@
 	r.answered = true
 	r.overdue.Stop()
 	delete(c.clients, r.client)
+	delete(c.ids, r.name)
 }
 
 func (c *Core) reply(r *request, reply Reply) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -18,7 +18,7 @@
 		Limits:  piernotch.Limits{MaxAttempts: 2, Cancel: true},
 		Rules:   piernotch.Rules{Cold: time.Second},
 	}
-	c, err := New(set, 1, start)
+	c, err := New(set, 1, start, "127.0.0.1:2")
 	require.NoError(t, err)
 	c.Handle(start, Members{Kind: piernotch.ListFull, Entries: []Member{server(piernotch.Ready)}})
 	return c
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -101,7 +101,9 @@
 	address string
 	zones   []string
 	version uint64
+	whole   bool // the next call asks for the whole list
 	conn    *conn
+	epoch   int           // counts moves: what an earlier address still says is void
 	asking  bool          // a call is out or is being made
 	asked   time.Duration // when the last call was made
 	askAt   time.Duration // when the next is due; 0: none is
@@ -133,6 +135,18 @@
 	w.begin()
 }
 
+// Move leaves the address that is watched for another. Its versions are its own,
+// so the whole list is asked for; late answers from the old address find nobody.
+func (w *Watcher) Move(address string) {
+	if w.conn != nil {
+		w.conn.sock.Close()
+		w.conn = nil
+	}
+	w.epoch++
+	w.address, w.whole, w.asking, w.asked = address, true, false, 0
+	w.Watch()
+}
+
 // begin makes a call, on the connection that stands or on a new one.
 func (w *Watcher) begin() {
 	w.askAt, w.asked = 0, w.now()
@@ -140,24 +154,31 @@
 		w.ask()
 		return
 	}
-	c := &conn{w: w, parser: http1.NewResponseParser(maxList)}
+	c, epoch := &conn{w: w, parser: http1.NewResponseParser(maxList)}, w.epoch
 	w.engine.Dial(w.address, dialFor, func(s *sock.Conn) sock.Handler {
 		c.sock = s
 		return c
-	}, func(_ *sock.Conn, err error) {
-		if err != nil {
+	}, func(s *sock.Conn, err error) {
+		switch {
+		case w.epoch != epoch:
+			if err == nil {
+				s.Close()
+			}
+		case err != nil:
 			w.fail(err)
-			return
+		default:
+			w.conn = c
+			w.ask()
 		}
-		w.conn = c
-		w.ask()
 	})
 }
 
 func (w *Watcher) ask() {
 	w.until = w.now() + wait + grace
-	target := path + "?index=" + strconv.FormatUint(w.version, 10) +
-		"&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	target := path
+	if !w.whole {
+		target += "?index=" + strconv.FormatUint(w.version, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	}
 	// An error is reported as a close, which fails the call.
 	_ = w.conn.sock.Write(http1.AppendRequest(nil, http1.MethodGet, target,
 		http1.Fields{{Name: "Host", Value: w.address}}, nil))
@@ -230,7 +251,7 @@
 		w.fail(err)
 		return
 	}
-	w.version = list.Generation
+	w.version, w.whole = list.Generation, w.whole && !list.Reset
 	kind := piernotch.ListDelta
 	if list.Reset {
 		kind = piernotch.ListFull
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,9 +3,12 @@
 package front
 
 import (
+	"cmp"
+	"errors"
 	"hash/fnv"
 	"log/slog"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,16 +24,28 @@
 	// margin is how long before the client's own deadline an answer must be on
 	// its way: the request took time to arrive, and so will the answer.
 	margin = 10 * time.Millisecond
-	// readFor bounds how long a request may take to arrive, and how long a
-	// client may take to read its answer.
-	readFor = 30 * time.Second
-	// keep is how long an idle client connection is kept.
-	keep = 5 * time.Minute
-	// spare is how long a connection is idle before it may be closed for another.
-	spare = 100 * time.Millisecond
+	// silentFor is how long a new connection may say nothing at all, and readFor
+	// how long a request may take from its first byte to its last. Whoever means
+	// harm opens connections by hundreds for either.
+	silentFor = 2 * time.Second
+	readFor   = 2 * time.Second
+	// writeFor is how long a client may take to read its answer.
+	writeFor = 10 * time.Second
+	// keep is how long a connection is kept between two requests.
+	keep = 6 * time.Second
 	// lingerFor is how long the rest of a bad request is read and thrown away, so
 	// that its sender gets to read the answer.
-	lingerFor = 5 * time.Second
+	lingerFor = 2 * time.Second
+	// When descriptors are short, so many connections give way at a time, the
+	// least use first: those that said nothing, or are long at it, for so long.
+	// One that has just come, or just had its answer, is spared: its request is
+	// on its way.
+	giveWay     = 16
+	spareSilent = 50 * time.Millisecond
+	spareHalf   = 500 * time.Millisecond
+	spareIdle   = 100 * time.Millisecond
+	// maxID bounds a request's id.
+	maxID = 128
 )
 
 // Front holds all client connections.
@@ -50,9 +65,10 @@
 	f      *Front
 	sock   *sock.Conn
 	parser *http1.Parser
-	client core.Client // the exchange that is owed an answer; 0: none
-	final  bool        // to be closed when the request in hand is answered
-	since  time.Duration
+	client core.Client   // the exchange that is owed an answer; 0: none
+	final  bool          // to be closed when the request in hand is answered
+	asked  bool          // has sent a byte
+	since  time.Duration // when the request in hand, or else the quiet, began
 	dying  bool          // closes once all is written
 	linger time.Duration // after a bad request: reads on, to no end, until then
 	shut   bool          // the sending side has ended
@@ -86,21 +102,29 @@
 	if c.dying {
 		return
 	}
+	if c.client != 0 {
+		// One request at a time: what comes before the answer is a body longer than
+		// it was said to be, or a request hidden behind one.
+		c.gone()
+		c.bad(http1.StatusBadRequest, "bytes beyond the request")
+		return
+	}
 	if c.parser.Idle() {
 		c.since = c.f.now()
 	}
+	c.asked = true
 	c.parser.Feed(data)
-	if c.client != 0 {
-		// A client that sends its next request early waits; one that sends on
-		// without end is not read into memory.
-		if c.parser.Buffered() > http1.MaxHead+http1.MaxBody {
-			c.drop()
-		}
-		return
-	}
 	c.read()
 }
 
+// bad answers what cannot be served on a connection that cannot go on.
+func (c *conn) bad(status int, reason string) {
+	slog.Info("bad request", "status", status, "err", reason)
+	c.final, c.linger = true, c.f.now()+lingerFor
+	c.sock.Ignore()
+	c.plain(status, reason)
+}
+
 // read serves the next whole request, if there is one.
 func (c *conn) read() {
 	for c.client == 0 && !c.dying {
@@ -110,9 +134,7 @@
 			if e, ok := err.(*http1.Error); ok {
 				status = e.Status
 			}
-			slog.Info("bad request", "status", status, "err", err)
-			c.final, c.linger = true, c.f.now()+lingerFor
-			c.plain(status, err.Error())
+			c.bad(status, err.Error())
 			return
 		}
 		if m == nil {
@@ -121,6 +143,10 @@
 			}
 			return
 		}
+		if !c.parser.Idle() {
+			c.bad(http1.StatusBadRequest, "bytes beyond the request")
+			return
+		}
 		c.final = m.Close || c.f.ending
 		c.serve(m)
 	}
@@ -146,19 +172,60 @@
 		c.plain(http1.StatusMethodNotAllowed, "use "+method, http1.Field{Name: "Allow", Value: method})
 		return
 	}
+	id, wait, reason := named(m, c.f.set.Classes[class].Deadline)
+	if reason != "" {
+		c.plain(http1.StatusBadRequest, reason)
+		return
+	}
 	c.f.last++
 	c.client = c.f.last
 	c.f.waiting[c.client] = c
 	c.f.emit(core.Arrived{
-		Client: c.client, Class: class, Key: key(m.Query("k")), Hint: hint(m.Fields.Get("x-cost-hint")),
-		Deadline: c.f.now() + deadline(m.Fields.Get("x-deadline-ms"), c.f.set.Classes[class].Deadline) - margin,
+		Client: c.client, ID: id, Class: class, Key: key(m.Query("k")), Hint: hint(m.Fields.Get("x-cost-hint")),
+		Deadline: c.f.now() + wait - margin,
 		Message: &upstream.Request{
-			Method: m.Method, Target: m.Target, ID: m.Fields.Get("x-request-id"),
+			Method: m.Method, Target: m.Target, ID: id,
 			ContentType: m.Fields.Get("content-type"), Body: m.Body,
 		},
 	})
 }
 
+// named reads what a request must say of itself: one id, and how long its client
+// waits; the class's own time stands in where that is missing and bounds the rest.
+// What a feed server could not use, or could read in another way, is not passed on.
+func named(m *http1.Message, most time.Duration) (id string, wait time.Duration, reason string) {
+	ids, waits := 0, 0
+	wait = most
+	for _, f := range m.Fields {
+		switch f.Name {
+		case "x-request-id":
+			ids++
+			id = f.Value
+		case "x-deadline-ms":
+			waits++
+			ms, err := strconv.ParseUint(f.Value, 10, 64)
+			if errors.Is(err, strconv.ErrRange) {
+				ms, err = math.MaxUint32, nil
+			}
+			if err != nil || ms == 0 {
+				return "", 0, "X-Deadline-Ms is not a number of milliseconds"
+			}
+			wait = min(time.Duration(min(ms, math.MaxUint32))*time.Millisecond, most)
+		}
+	}
+	switch {
+	case ids != 1 || waits > 1:
+		return "", 0, "not one X-Request-Id, or more than one X-Deadline-Ms"
+	case id == "" || len(id) > maxID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }):
+		return "", 0, "X-Request-Id is not a name"
+	case m.Method == http1.MethodGet && len(m.Body) > 0:
+		return "", 0, "GET takes no body"
+	case m.Method != http1.MethodGet && !m.Sized:
+		return "", 0, "no length"
+	}
+	return id, wait, ""
+}
+
 func (c *conn) health(m *http1.Message) {
 	switch {
 	case m.Method != http1.MethodGet:
@@ -194,16 +261,6 @@
 	return us / 1000
 }
 
-// deadline reads the time that a client will wait; the class's own stands in for
-// a missing or senseless one and bounds the rest.
-func deadline(text string, most time.Duration) time.Duration {
-	ms, err := strconv.ParseUint(text, 10, 31)
-	if err != nil || ms == 0 {
-		return most
-	}
-	return min(time.Duration(ms)*time.Millisecond, most)
-}
-
 // Reply writes the final answer of an exchange.
 func (f *Front) Reply(r core.Reply) {
 	c := f.waiting[r.Client]
@@ -229,6 +286,8 @@
 			})
 		}
 		c.answer(http1.StatusServiceUnavailable, fields, []byte("refused: trying again is harmless\n"))
+	case core.Rejected:
+		c.answer(http1.StatusConflict, nil, []byte("another open request has this X-Request-Id\n"))
 	default:
 		status := http1.StatusBadGateway
 		if r.Last == piernotch.Timeout {
@@ -236,7 +295,6 @@
 		}
 		c.answer(status, nil, []byte("failed: the request may have run\n"))
 	}
-	c.read() // a next request may have come in early
 }
 
 func (c *conn) plain(status int, text string, fields ...http1.Field) {
@@ -296,18 +354,36 @@
 	return c.client == 0 && !c.dying && c.parser.Idle() && c.sock.Unsent() == 0
 }
 
-// Shed closes connections that have been idle for some time, because descriptors
-// are short. One that has only just come, or just had its answer, is spared: its
-// next request is on its way.
-func (f *Front) Shed() { f.closeIdle(spare) }
+// Shed closes connections because descriptors are short.
+func (f *Front) Shed() {
+	now := f.now()
+	var out [3][]*conn
+	for c := range f.conns {
+		age := now - c.since
+		switch {
+		case c.dying || !c.asked && age >= spareSilent:
+			out[0] = append(out[0], c)
+		case c.client != 0 || c.sock.Unsent() > 0:
+		case !c.parser.Idle() && age >= spareHalf:
+			out[1] = append(out[1], c)
+		case c.asked && c.parser.Idle() && age >= spareIdle:
+			out[2] = append(out[2], c)
+		}
+	}
+	left := giveWay
+	for _, cs := range out {
+		slices.SortFunc(cs, func(a, b *conn) int { return cmp.Compare(a.since, b.since) })
+		for _, c := range cs[:min(left, len(cs))] {
+			c.drop()
+			left--
+		}
+	}
+}
 
 // CloseIdle closes all idle connections.
-func (f *Front) CloseIdle() { f.closeIdle(0) }
-
-func (f *Front) closeIdle(least time.Duration) {
-	now := f.now()
+func (f *Front) CloseIdle() {
 	for c := range f.conns {
-		if c.idle() && now-c.since >= least {
+		if c.idle() {
 			c.drop()
 		}
 	}
@@ -316,17 +392,29 @@
 // Terminate has every further answer end its connection.
 func (f *Front) Terminate() { f.ending = true }
 
-// Tick ends connections that are done, idle for long, or too slow to send their
-// request or to read their answer.
+// Tick ends connections that are done, silent or idle for too long, or too slow to
+// send their request or to read their answer.
 func (f *Front) Tick() {
 	now := f.now()
 	for c := range f.conns {
+		age := now - c.since
 		switch {
-		case c.dying && now-c.since <= readFor:
+		case c.dying && age <= writeFor:
 			c.finish()
-		case c.idle() && now-c.since <= keep:
-		case c.client != 0 || now-c.since <= readFor:
-		default:
+		case c.client != 0: // the core sees to it
+		case c.dying || c.sock.Unsent() > 0:
+			if age > writeFor {
+				c.drop()
+			}
+		case !c.asked:
+			if age > silentFor {
+				c.drop()
+			}
+		case !c.parser.Idle():
+			if age > readFor {
+				c.bad(http1.StatusRequestTimeout, "the request did not come to its end")
+			}
+		case age > keep:
 			c.drop()
 		}
 	}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -66,6 +66,7 @@
 	Fields         Fields
 	Body           []byte
 	Close          bool // the sender closes the connection after it
+	Sized          bool // it said how long its body is
 }
 
 // Path returns the target without its query.
@@ -385,6 +386,7 @@
 			hosts++
 		}
 	}
+	m.Sized = lengths+codings > 0
 	switch {
 	case lengths > 1 || codings > 1 || lengths+codings > 1:
 		return bad("ambiguous length")
@@ -421,7 +423,7 @@
 	return nil
 }
 
-func notVisible(r rune) bool { return r <= ' ' || r == 0x7f }
+func notVisible(r rune) bool { return r <= ' ' || r > '~' }
 func notText(r rune) bool    { return r < ' ' && r != '\t' || r == 0x7f }
 
 func isToken(s string) bool {
--- a/internal/http1/status.go
+++ b/internal/http1/status.go
@@ -10,6 +10,8 @@
 	StatusBadRequest         = 400
 	StatusNotFound           = 404
 	StatusMethodNotAllowed   = 405
+	StatusRequestTimeout     = 408
+	StatusConflict           = 409
 	StatusBodyTooLarge       = 413
 	StatusFieldsTooLarge     = 431
 	StatusNotImplemented     = 501
@@ -21,7 +23,8 @@
 
 var reasons = map[int]string{
 	StatusOK: "OK", StatusBadRequest: "Bad Request", StatusNotFound: "Not Found",
-	StatusMethodNotAllowed: "Method Not Allowed", StatusBodyTooLarge: "Content Too Large",
+	StatusMethodNotAllowed: "Method Not Allowed", StatusRequestTimeout: "Request Timeout", StatusConflict: "Conflict",
+	StatusBodyTooLarge:   "Content Too Large",
 	StatusFieldsTooLarge: "Request Header Fields Too Large", StatusNotImplemented: "Not Implemented",
 	StatusBadGateway: "Bad Gateway", StatusServiceUnavailable: "Service Unavailable",
 	StatusGatewayTimeout: "Gateway Timeout", StatusVersion: "HTTP Version Not Supported",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	epoch    time.Time     // when the clock was read
 	base     time.Duration // what it said, as Unix time
 	queue    []core.Event
+	head     int // how many of the queue have been taken
 	busy     bool
 	summary  time.Duration
 	shed     time.Duration // when it was last logged that descriptors are short
@@ -47,7 +48,7 @@
 	n := &Node{cfg: cfg, epoch: time.Now()}
 	n.base = time.Duration(n.epoch.UnixNano())
 	var err error
-	if n.core, err = core.New(cfg.Settings, cfg.Seed, n.now()); err != nil {
+	if n.core, err = core.New(cfg.Settings, cfg.Seed, n.now(), cfg.Discovery); err != nil {
 		return nil, err
 	}
 	if n.engine, err = sock.New(cfg.Sockets); err != nil {
@@ -56,13 +57,15 @@
 	n.upstream = upstream.New(n.engine, n.emit, n.now, cfg.KeepAlive, cfg.DialTimeout)
 	n.front = front.New(cfg.Settings, n.emit, n.now, func() bool { return n.core.Listed() && !n.core.Ending() })
 	n.watcher = discovery.New(n.engine, n.emit, n.now, cfg.Discovery, cfg.Settings.Zones, cfg.Known.Generation)
-	n.engine.Shed = func() {
+	n.engine.Shed = func(client bool) {
 		if now := n.now(); now-n.shed > time.Second { // it may go on for a while
 			n.shed = now
 			slog.Warn("descriptors are short, closing idle connections", "open", n.engine.Open())
 		}
 		n.front.Shed()
-		n.upstream.Shed()
+		if !client { // a client must not cost feed servers their connections
+			n.upstream.Shed()
+		}
 	}
 	return n, nil
 }
@@ -108,6 +111,16 @@
 	})
 }
 
+// Reload takes over what of a new configuration can change while the program
+// runs, which is discovery's address. It may be called from any goroutine.
+func (n *Node) Reload(cfg config.Config) {
+	n.engine.Post(func() {
+		slog.Info("configuration read again", "discovery", cfg.Discovery, "was", n.cfg.Discovery)
+		n.cfg.Discovery = cfg.Discovery
+		n.emit(core.Moved{Discovery: cfg.Discovery})
+	})
+}
+
 func (n *Node) tick() {
 	n.emit(core.Ticked{})
 	n.front.Tick()
@@ -156,13 +169,15 @@
 	}
 	n.busy = true
 	defer func() { n.busy = false }()
-	for len(n.queue) > 0 {
-		next := n.queue[0]
-		n.queue = n.queue[1:]
+	for n.head < len(n.queue) {
+		next := n.queue[n.head]
+		n.queue[n.head] = nil // the array is used again and must keep no request alive
+		n.head++
 		for _, e := range n.core.Handle(n.now(), next) {
 			n.perform(e)
 		}
 	}
+	n.queue, n.head = n.queue[:0], 0
 }
 
 func (n *Node) perform(e core.Effect) {
@@ -179,6 +194,8 @@
 		n.upstream.Probe(e)
 	case core.Watch:
 		n.watcher.Watch()
+	case core.MoveWatch:
+		n.watcher.Move(e.Address)
 	case core.Forget:
 		n.upstream.Forget(e.Address)
 	case core.StopListening:
--- a/internal/node/stories_test.go
+++ b/internal/node/stories_test.go
@@ -323,10 +323,10 @@
 		}
 	}))
 	early := connect(t, n)
-	early.send("GET /read HTTP/1.1\r\nHost: b\r\n\r\n")
+	early.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\n\r\n")
 	<-arrived
 	late := connect(t, n)
-	late.send("GET /read HTTP/1.1\r\nHost: b\r\n") // the rest comes after the SIGTERM
+	late.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 2\r\n") // the rest comes after the SIGTERM
 	n.Terminate()
 	head, _ := connect(t, n).ask("GET", "/_health", "", "")
 	require.Contains(t, head, "503")
@@ -354,3 +354,91 @@
 		t.Fatal("still running")
 	}
 }
+
+// SIGHUP moves the watch: the new address is asked for the whole list, what is
+// known serves meanwhile, and what the old one still says is not heard.
+func TestTheWatchMoves(t *testing.T) {
+	served := func(name string) string {
+		return peer(t, func(c net.Conn, r *bufio.Reader) { message(r); answer(c, name) })
+	}
+	asked, late, told := make(chan string, 8), make(chan struct{}), make(chan struct{})
+	old := peer(t, func(c net.Conn, r *bufio.Reader) {
+		message(r)
+		asked <- "old"
+		<-late
+		answer(c, list(9, true, "in_service", served("late")))
+	})
+	known, moved := served("known"), served("moved")
+	next := peer(t, func(c net.Conn, r *bufio.Reader) {
+		head, _ := message(r)
+		asked <- strings.Fields(head)[1]
+		<-told
+		answer(c, list(3, true, "in_service", moved))
+		head, _ = message(r)
+		asked <- strings.Fields(head)[1]
+		message(r)
+	})
+	n, _ := start(t, old, known)
+	require.Equal(t, "old", <-asked)
+	cfg := n.cfg
+	cfg.Discovery = next
+	n.Reload(cfg)
+	require.Equal(t, "/catalog/members", <-asked)
+	close(late)
+	_, body := connect(t, n).ask("GET", "/read", "1", "")
+	require.Equal(t, "known", body)
+	close(told)
+	require.Contains(t, <-asked, "index=3&")
+	_, body = connect(t, n).ask("GET", "/read", "2", "")
+	require.Equal(t, "moved", body)
+}
+
+// What a feed server could not use, or could read in another way than this
+// program, gets an error here and is not passed on.
+func TestBadClientsAreToldSo(t *testing.T) {
+	passed := make(chan string, 64)
+	release := make(chan struct{})
+	n, _ := start(t, quiet(t), peer(t, func(c net.Conn, r *bufio.Reader) {
+		for head, _ := message(r); head != ""; head, _ = message(r) {
+			passed <- head
+			<-release
+			answer(c, "served")
+		}
+	}))
+	holder := connect(t, n)
+	holder.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: open\r\n\r\n")
+	require.Contains(t, <-passed, "open")
+	get, post := "GET /read HTTP/1.1\r\nHost: b\r\n", "POST /append HTTP/1.1\r\nHost: b\r\n"
+	for text, want := range map[string]string{
+		get + "\r\n": "400", // no id
+		get + "X-Request-Id: 1\r\nX-Request-Id: 2\r\n\r\n":                                           "400",
+		get + "X-Request-Id: open\r\n\r\n":                                                           "409",
+		get + "X-Request-Id: 1\r\nX-Deadline-Ms: soon\r\n\r\n":                                       "400",
+		get + "X-Request-Id: 1\r\nX-Deadline-Ms: -5\r\n\r\n":                                         "400",
+		get + "X-Request-Id: 1\r\nContent-Length: 1\r\n\r\nx":                                        "400",
+		get + "X-Request-Id: 1\r\n\r\n" + get + "X-Request-Id: 2\r\n\r\n":                            "400",
+		post + "X-Request-Id: 1\r\n\r\n":                                                             "400",
+		post + "X-Request-Id: 1\r\nContent-Length: 2\r\n\r\nlong":                                    "400",
+		post + "X-Request-Id: 1\r\nContent-Length: -2\r\n\r\nxx":                                     "400",
+		post + "X-Request-Id: 1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": "400",
+	} {
+		c := connect(t, n)
+		c.send(text)
+		head, _ := message(c.r)
+		require.Contains(t, head, "HTTP/1.1 "+want, text)
+	}
+	close(release)
+	_, body := message(holder.r)
+	require.Equal(t, "served", body)
+	for _, text := range []string{post + "X-Request-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", "GET /read", ""} {
+		c := connect(t, n)
+		c.send(text)
+		head, _ := message(c.r)
+		if text == "" {
+			require.Empty(t, head, "whoever says nothing is let go")
+			continue
+		}
+		require.Contains(t, head, "HTTP/1.1 408", text)
+	}
+	require.Empty(t, passed)
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,30 +26,54 @@
 // ErrShort says that the descriptor budget is spent.
 var ErrShort = errors.New("descriptor budget is spent")
 
-// Handler is told what happens on a connection, on the owning goroutine.
+// Handler is told what happens on a connection, on the owning goroutine. The
+// data is only lent: the buffer is used again after the call.
 type Handler interface {
 	Data(data []byte)
 	Closed(err error)
 }
 
+const (
+	// readSize is how much is read from a socket at once.
+	readSize = 16 << 10
+	// mostMail bounds the bytes that were read and not yet looked at. Beyond it
+	// the poller waits, and so do the peers: a few that send at full speed must
+	// not fill the memory.
+	mostMail = 256 << 10
+)
+
 // Conn is one connection. All methods are for the owning goroutine.
 type Conn struct {
 	nb      *nbio.Conn
 	handler Handler
 	queued  int64
 	written atomic.Int64 // bytes that the kernel has taken
+	unread  atomic.Int32 // pieces of data on their way to the handler
+	deaf    atomic.Bool  // what still comes is thrown away
 	closed  bool
 	counted bool // in Engine.open
 }
 
+// mail is one thing that has happened: f, or else data on a connection.
+type mail struct {
+	f    func()
+	conn *Conn
+	data *[]byte
+}
+
 // Engine runs the sockets.
 type Engine struct {
-	// Shed is called when descriptors are short; it should close idle ones.
-	Shed func()
+	// Shed is called when descriptors are short; it should close what can be
+	// spared, for a new client or for a connection to a feed server.
+	Shed func(client bool)
 
 	nb       *nbio.Engine
-	mail     chan func()
-	ready    []func()
+	mu       sync.Mutex
+	room     *sync.Cond // mail has been looked at
+	mail     []mail
+	bytes    int // of the data in mail
+	wake     chan struct{}
+	buffers  sync.Pool
 	open     atomic.Int64
 	budget   int64
 	listener net.Listener
@@ -61,25 +86,26 @@
 	// The budget is kept here; the table only has to be large enough.
 	nbio.MaxOpenFiles = max(4*sockets, 1<<14)
 	e := &Engine{
-		mail: make(chan func(), 1024), budget: int64(sockets - Reserve), Shed: func() {},
+		wake: make(chan struct{}, 1), budget: int64(sockets - Reserve), Shed: func(bool) {},
+		buffers: sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }},
 		nb: nbio.NewEngine(nbio.Config{
-			Name: "piernotch", NPoller: 1, ReadBufferSize: 32 << 10, MaxWriteBufferSize: 512 << 10,
+			Name: "piernotch", NPoller: 1, ReadBufferSize: readSize, MaxWriteBufferSize: 512 << 10,
 			MaxConnReadTimesPerEventLoop: 4,
 		}),
 	}
+	e.room = sync.NewCond(&e.mu)
 	e.nb.OnOpen(func(*nbio.Conn) {})
 	e.nb.OnData(func(nc *nbio.Conn, data []byte) {
 		if c, ok := nc.Session().(*Conn); ok {
-			kept := append([]byte(nil), data...) // nbio uses its buffer again
-			e.mail <- func() { c.deliver(kept) }
+			e.arrived(c, data)
 		}
 	})
 	e.nb.OnClose(func(nc *nbio.Conn, err error) {
 		if c, ok := nc.Session().(*Conn); ok {
-			e.mail <- func() {
+			e.Post(func() {
 				e.release(c)
 				c.ended(err)
-			}
+			})
 		}
 	})
 	e.nb.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
@@ -97,23 +123,62 @@
 func (e *Engine) Run(ctx context.Context, period time.Duration, tick func()) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
+	var batch []mail
 	for {
 		select {
-		case f := <-e.mail:
-			guard(f)
+		case <-e.wake:
 		case <-ticker.C:
 			guard(tick)
 		case <-ctx.Done():
 			return
 		}
-		for len(e.ready) > 0 {
-			f := e.ready[0]
-			e.ready = e.ready[1:]
-			guard(f)
+		e.mu.Lock()
+		batch, e.mail = e.mail, batch[:0]
+		e.bytes = 0
+		e.mu.Unlock()
+		e.room.Signal()
+		for i := range batch {
+			e.serve(batch[i])
+			batch[i] = mail{} // kept until the next batch otherwise
 		}
 	}
 }
 
+func (e *Engine) serve(m mail) {
+	if m.conn == nil {
+		guard(m.f)
+		return
+	}
+	m.conn.unread.Add(-1)
+	m.conn.deliver(*m.data)
+	e.buffers.Put(m.data)
+}
+
+// arrived takes what the poller has read, whose buffer it uses again.
+func (e *Engine) arrived(c *Conn, data []byte) {
+	if c.deaf.Load() {
+		return
+	}
+	kept := e.buffers.Get().(*[]byte)
+	*kept = append((*kept)[:0], data...)
+	c.unread.Add(1)
+	e.mu.Lock()
+	for e.bytes > mostMail {
+		e.room.Wait()
+	}
+	e.bytes += len(data)
+	e.mail = append(e.mail, mail{conn: c, data: kept})
+	e.mu.Unlock()
+	e.nudge()
+}
+
+func (e *Engine) nudge() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
 // guard keeps a panic in one event from ending the program.
 func guard(f func()) {
 	defer func() {
@@ -124,12 +189,14 @@
 	f()
 }
 
-// Post has f run on the owning goroutine; it may be called from any other.
-func (e *Engine) Post(f func()) { e.mail <- f }
-
-// Next has f run after the present event; it is for the owning goroutine, which
-// would wait for itself if it posted to a full mailbox.
-func (e *Engine) Next(f func()) { e.ready = append(e.ready, f) }
+// Post has f run on the owning goroutine, after what has come before it. It never
+// blocks and may be called from any goroutine.
+func (e *Engine) Post(f func()) {
+	e.mu.Lock()
+	e.mail = append(e.mail, mail{f: f})
+	e.mu.Unlock()
+	e.nudge()
+}
 
 // Open returns how many sockets are open.
 func (e *Engine) Open() int { return int(e.open.Load()) }
@@ -167,9 +234,9 @@
 // strike after the connection is up; so the dial is net's and the rest nbio's.
 func (e *Engine) Dial(addr string, timeout time.Duration, h func(*Conn) Handler, done func(*Conn, error)) {
 	if e.open.Load() >= e.budget {
-		e.Shed()
+		e.Shed(false)
 		if e.open.Load() >= e.budget+Reserve/4 { // closes take a moment to count
-			e.Next(func() { done(nil, ErrShort) })
+			e.Post(func() { done(nil, ErrShort) })
 			return
 		}
 	}
@@ -213,7 +280,7 @@
 		// Room is kept for feed servers: a client taken in but not served is
 		// worse off than one that waits in the listener's queue.
 		for e.open.Load() >= e.budget*3/4 {
-			e.Post(func() { e.Shed() })
+			e.Post(func() { e.Shed(true) })
 			time.Sleep(5 * time.Millisecond)
 		}
 		nc, err := l.Accept()
@@ -222,7 +289,7 @@
 		}
 		if err != nil { // out of descriptors, most likely: others must close first
 			slog.Warn("accept failed", "err", err)
-			e.Post(func() { e.Shed() })
+			e.Post(func() { e.Shed(true) })
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
@@ -278,6 +345,26 @@
 	return err
 }
 
+// Ignore has whatever the peer still sends thrown away as it is read.
+func (c *Conn) Ignore() { c.deaf.Store(true) }
+
+// Silent tells whether nothing from the peer waits to be read: neither on its way
+// to the handler nor in the kernel.
+func (c *Conn) Silent() bool {
+	if c.closed || c.unread.Load() > 0 {
+		return false
+	}
+	silent := true
+	if raw, err := c.nb.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			var one [1]byte
+			_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			silent = errors.Is(err, syscall.EAGAIN)
+		})
+	}
+	return silent
+}
+
 // Unsent returns how many bytes the kernel has not taken yet.
 func (c *Conn) Unsent() int64 { return c.queued - c.written.Load() }
 
