Keep servers in through spoilt answers; rest connections after an answer

Checked: restore() in balancer.go chilled every server that came back for a quarter of the cold time (6 s there), one request at a time and none from elsewhere; two spoilt answers in a row ejected a server that lived. A hung answer held its place until the aim. Changed: only broken connections bring a server back as if cold; errors, which spoilt answers now count as, eject at three in a row. An answer that stops for 250 ms is spoilt. A connection rests 10 ms after an answer and is looked at before use, so that a copy behind a good answer, or a close, meets no request. Pools belong to a server and not to its address. A field that cannot be read spoils itself and not its answer.

--- a/balancer.go
+++ b/balancer.go
@@ -563,7 +563,7 @@
 		// backend's own: it counts as late, but is no reason to shed.
 		g := &b.groups[to.away]
 		g.late += smoothing * (1 - g.late)
-		b.strike(now, to)
+		b.strike(now, to, 2)
 	case o.Status == Timeout:
 		b.measure(now, r, to, o.Latency)
 	case o.Status == OK:
@@ -571,8 +571,11 @@
 		b.restore(now, to)
 	case o.Status == Full: // as bad as a wait until the aim
 		b.measure(now, r, to, r.class.Aim)
-	case o.Status == ConnectFailed, o.Status == Reset, o.Status == Error:
-		b.strike(now, to)
+	case o.Status == Error: // it lives, and an answer now and then is no good
+		b.strike(now, to, 3)
+	case o.Status == ConnectFailed, o.Status == Reset:
+		to.broken = true
+		b.strike(now, to, 2)
 	}
 }
 
@@ -637,15 +640,17 @@
 	b.shed = min(max(b.shed+step, 0), 1)
 }
 
-// restore ends an ejection. Nobody told this proxy why the backend was silent,
-// so it comes back as if cold until the list has had time to name a restart.
+// restore ends an ejection. If connections broke, nobody has told this proxy why,
+// so the backend comes back as if cold until the list has had time to name a restart.
+// One that was only silent, slow or wrong kept its process and is as warm as before.
 func (b *Balancer) restore(now time.Duration, to *backend) {
-	to.strikes = 0
+	broken := to.broken
+	to.strikes, to.broken = 0, false
 	if to.ejected == 0 {
 		return
 	}
 	to.ejected = 0
-	if to.coldSince < 0 {
+	if to.coldSince < 0 && broken {
 		b.chill(now, to, now)
 		to.doubt = now + b.listLag
 	}
@@ -659,9 +664,10 @@
 	to.coldNext = now + jitter(b.rng, b.coldGap(now, to))
 }
 
-func (b *Balancer) strike(now time.Duration, to *backend) {
+// strike counts a failure; so many in a row eject.
+func (b *Balancer) strike(now time.Duration, to *backend, most int) {
 	to.strikes++
-	if to.ejected > 0 || to.strikes >= 2 {
+	if to.ejected > 0 || to.strikes >= most {
 		b.eject(now, to)
 	}
 }
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -941,3 +941,29 @@
 		}
 	}
 }
+
+// Spoilt answers and silence took servers out and brought them back as if cold: half
+// of the fleet was held to one request at a time, though none had restarted.
+func TestOnlyBrokenConnectionsBringABackendBackCold(t *testing.T) {
+	for status, cold := range map[Status]bool{Error: false, Reset: true} {
+		b, _ := start(t, settings(), fleet(2, 1))
+		to := b.backends[1]
+		hear := func(s Status) {
+			b.learn(time.Second, &request{class: &b.set.Classes[safeClass], work: 10}, &attempt{to: to}, Outcome{Status: s})
+		}
+		b.meanWork = 10
+		hear(status)
+		hear(status)
+		if (to.ejected > 0) != cold {
+			t.Errorf("status %d: ejected %d times after two", status, to.ejected)
+		}
+		hear(status)
+		if to.ejected == 0 {
+			t.Errorf("status %d: not ejected after three", status)
+		}
+		hear(OK)
+		if (to.coldSince >= 0) != cold || to.ejected > 0 {
+			t.Errorf("status %d: cold since %v", status, to.coldSince)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,13 @@
 	Attempt int
 }
 
+// Place is a feed server at its address. A new server may come up at the address
+// of one that has gone; what belongs to the one must not pass to the other.
+type Place struct {
+	Backend piernotch.BackendID
+	Address string
+}
+
 // Event is something that happened outside.
 type Event interface{ event() }
 
@@ -94,7 +101,7 @@
 	// Send asks for a connection for an attempt; Write follows Connected.
 	Send struct {
 		Ref     Ref
-		Address string
+		To      Place
 		Message any
 		Wait    time.Duration
 	}
@@ -112,17 +119,14 @@
 		Close      bool // the connection is to be closed after it
 	}
 	// Probe examines a feed server.
-	Probe struct {
-		Backend piernotch.BackendID
-		Address string
-	}
+	Probe struct{ To Place }
 	// Watch subscribes to discovery.
 	Watch struct{}
 	// MoveWatch has the whole list asked for at another address, and the watch go
 	// on from there.
 	MoveWatch struct{ Address string }
-	// Forget closes idle connections to an address.
-	Forget struct{ Address string }
+	// Forget closes idle connections to a server.
+	Forget struct{ To Place }
 	// StopListening ends the taking of new work.
 	StopListening struct{}
 	// Exit ends the program: nothing is owed any more.
@@ -184,6 +188,8 @@
 	born    time.Duration
 }
 
+func (b *backend) place() Place { return Place{b.id, b.address} }
+
 // Core is the reducer. It must be used from one goroutine.
 type Core struct {
 	set       piernotch.Settings
@@ -445,7 +451,7 @@
 		// there lead nowhere, and a machine that vanished never says so.
 		stale := b.address != m.Address || b.born != m.Entry.Born
 		if b.address != "" && (stale || m.Entry.State != piernotch.Ready) {
-			c.do(Forget{b.address})
+			c.do(Forget{b.place()})
 		}
 		b.address, b.state, b.born = m.Address, m.Entry.State, m.Entry.Born
 		m.Entry.ID = b.id
@@ -455,7 +461,7 @@
 		for name, b := range c.names {
 			if !named[name] && b.state != piernotch.Gone {
 				b.state = piernotch.Gone
-				c.do(Forget{b.address})
+				c.do(Forget{b.place()})
 			}
 		}
 	}
@@ -515,7 +521,7 @@
 		}
 		c.ended(r, n, status, nil)
 	})
-	c.do(Send{Ref: ref, Address: b.address, Message: r.message, Wait: wait})
+	c.do(Send{Ref: ref, To: b.place(), Message: r.message, Wait: wait})
 }
 
 func (h host) Cancel(id piernotch.RequestID, n int) {
@@ -559,7 +565,7 @@
 		delete(c.probes, id)
 		c.balancer.Probed(c.now, id, piernotch.Timeout)
 	})
-	c.do(Probe{Backend: id, Address: b.address})
+	c.do(Probe{b.place()})
 }
 
 func (h host) Watch() { h.c.do(Watch{}) }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -74,6 +74,6 @@
 	again := server(piernotch.Ready)
 	again.Entry.Born = start - time.Millisecond
 	list := Members{Kind: piernotch.ListDelta, Entries: []Member{again}}
-	require.Contains(t, c.Handle(start, list), Forget{"127.0.0.1:1"})
+	require.Contains(t, c.Handle(start, list), Forget{Place{c.names["s-1"].id, "127.0.0.1:1"}})
 	require.Empty(t, c.Handle(start, list), "once is enough")
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -299,7 +299,7 @@
 	if err != nil {
 		return false, err
 	}
-	if m.Fields, err = fields(rest); err != nil {
+	if m.Fields, err = fields(rest, p.response); err != nil {
 		return false, err
 	}
 	m.Close = m.Fields.lists("connection", "close") || minor == 0 && !m.Fields.lists("connection", "keep-alive")
@@ -342,7 +342,7 @@
 	return 0, bad("malformed version")
 }
 
-func fields(text string) (Fields, *Error) {
+func fields(text string, response bool) (Fields, *Error) {
 	if text == "" {
 		return nil, nil
 	}
@@ -354,6 +354,9 @@
 		}
 		value = strings.Trim(value, " \t")
 		if strings.ContainsFunc(value, notText) {
+			if response && !frames(name) {
+				continue // such as a load report: it spoils itself and not the answer
+			}
 			return nil, bad("malformed header value")
 		}
 		if len(all) == MaxFields {
@@ -364,6 +367,11 @@
 	return all, nil
 }
 
+// frames tells whether a field has a say in where a message ends.
+func frames(name string) bool {
+	return strings.EqualFold(name, "content-length") || strings.EqualFold(name, "transfer-encoding")
+}
+
 // frame finds how the body ends. Two readings of one message are how requests
 // are smuggled past a proxy, so whatever is ambiguous is turned down.
 func (p *Parser) frame(m *Message, minor int) *Error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,7 +197,7 @@
 	case core.MoveWatch:
 		n.watcher.Move(e.Address)
 	case core.Forget:
-		n.upstream.Forget(e.Address)
+		n.upstream.Forget(e.To)
 	case core.StopListening:
 		n.engine.StopListening()
 		n.front.CloseIdle()
--- a/internal/node/stories_test.go
+++ b/internal/node/stories_test.go
@@ -442,3 +442,58 @@
 	}
 	require.Empty(t, passed)
 }
+
+// A spoilt answer may come from any server: its request has run and is not sent
+// again if that may do harm, its connection is of no use, and the server stays in.
+// What comes behind a good answer is not the next request's.
+func TestSpoiltAnswers(t *testing.T) {
+	good, noise := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine", "\x00\xffHTTP\r\n\r\n"
+	bad := "HTTP/1.1 200 OK\r\n"
+	tries := make(chan string, 64)
+	script := func(c net.Conn, r *bufio.Reader) {
+		for head, script := message(r); head != ""; head, script = message(r) {
+			tries <- script
+			_, _ = io.WriteString(c, script)
+		}
+	}
+	n, _ := start(t, quiet(t), peer(t, script), peer(t, script), peer(t, script), peer(t, script))
+	c := connect(t, n)
+	ask := func(script string) string {
+		head, body := c.ask("POST", "/append", "id", script)
+		require.Len(t, tries, 1, "sent once")
+		require.Equal(t, script, <-tries)
+		return strings.Fields(head)[1] + body
+	}
+	for _, script := range []string{
+		noise, bad + strings.Repeat("a: b\r\n", 9000), bad + "Content-Length: 3000000000\r\n\r\nx",
+		bad + "Content-Length: 9\r\nContent-Length: 3\r\n\r\nabc", bad + "Content-Length: 9\r\n\r\nabc",
+		bad + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+	} {
+		require.Contains(t, ask(script), "502failed", script)
+		require.Equal(t, "200mine", ask(good), script)
+	}
+	for _, script := range []string{
+		good + good, good + noise, "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + good,
+		"HTTP/1.1 200 OK\r\nX-Load: \x01=,,\xff\r\nContent-Length: 4\r\n\r\nmine",
+	} {
+		require.Equal(t, "200mine", ask(script), script)
+		require.Equal(t, "200mine", ask(good), script)
+	}
+}
+
+// The second half may come when the connection has been given to the next request
+// already: a connection rests before it is used again.
+func TestACopyThatFollowsIsNotTheNextAnswer(t *testing.T) {
+	n, _ := start(t, quiet(t), peer(t, func(c net.Conn, r *bufio.Reader) {
+		for head, body := message(r); head != ""; head, body = message(r) {
+			answer(c, body)
+			time.Sleep(time.Millisecond)
+			answer(c, body)
+		}
+	}))
+	c := connect(t, n)
+	for _, want := range []string{"a", "b", "c", "d"} {
+		_, body := c.ask("POST", "/append", want, want)
+		require.Equal(t, want, body)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -15,6 +16,15 @@
 	"piernotch/internal/sock"
 )
 
+const (
+	// restFor is how long a connection rests after an answer. More than belongs to
+	// the answer may come right behind it, and must not be read as the next one's.
+	restFor = 2 * core.Tick
+	// stallFor is how long an answer that has begun may stop. Servers write answers
+	// whole, so what stops ends never, and its request has nothing to wait for.
+	stallFor = 250 * time.Millisecond
+)
+
 // maxDials is how many connections to one feed server may be coming up at once.
 // Opening costs the feed server, so a burst waits for connections in use.
 const maxDials = 8
@@ -28,9 +38,10 @@
 	Writing                 // its last byte had not been written: it cannot have run
 	Waiting                 // the request was written, no answer had begun
 	Answering               // an answer had begun
+	Spoilt                  // an answer came that cannot be read, or stopped half-way
 )
 
-var stageNames = [...]string{"connecting", "writing", "waiting", "answering"}
+var stageNames = [...]string{"connecting", "writing", "waiting", "answering", "spoilt"}
 
 func (s Stage) String() string { return stageNames[s] }
 
@@ -50,8 +61,11 @@
 
 // Status is what the module is told of the failure.
 func (f *Failure) Status() piernotch.Status {
-	if f.Stage < Waiting {
+	switch {
+	case f.Stage < Waiting:
 		return piernotch.ConnectFailed
+	case f.Stage == Spoilt: // the connection stands: the server has not restarted
+		return piernotch.Error
 	}
 	return piernotch.Reset
 }
@@ -73,8 +87,7 @@
 type errand struct {
 	ref     core.Ref
 	probe   bool
-	backend piernotch.BackendID
-	address string
+	pool    *pool
 	message *Request
 	until   time.Duration
 	conn    *conn
@@ -87,15 +100,16 @@
 	sock   *sock.Conn
 	parser *http1.Parser
 	errand *errand
-	since  time.Duration // idle since
+	since  time.Duration // idle, or heard from, since
 	wrote  bool          // the errand's bytes were handed to the socket
 	heard  bool          // an answer has begun
 }
 
 type pool struct {
 	u       *Upstream
-	address string
+	to      core.Place
 	idle    []*conn // newest last
+	resting []*conn // oldest first; not to be used yet
 	queue   []*errand
 	dials   int
 	barred  bool // its server drains or is gone: connections are not kept
@@ -108,7 +122,7 @@
 	now     func() time.Duration
 	keep    time.Duration
 	dialFor time.Duration
-	pools   map[string]*pool
+	pools   map[core.Place]*pool
 	errands map[core.Ref]*errand
 	probes  map[*errand]struct{}
 	Opened  int // connections opened so far, for the log
@@ -119,44 +133,47 @@
 func New(engine *sock.Engine, emit func(core.Event), now func() time.Duration, keepAlive, dialFor time.Duration) *Upstream {
 	return &Upstream{
 		engine: engine, emit: emit, now: now, keep: keepAlive * 3 / 4, dialFor: dialFor,
-		pools: map[string]*pool{}, errands: map[core.Ref]*errand{}, probes: map[*errand]struct{}{},
+		pools: map[core.Place]*pool{}, errands: map[core.Ref]*errand{}, probes: map[*errand]struct{}{},
 	}
 }
 
-func (u *Upstream) pool(address string) *pool {
-	p := u.pools[address]
+func (u *Upstream) pool(to core.Place) *pool {
+	p := u.pools[to]
 	if p == nil {
-		p = &pool{u: u, address: address}
-		u.pools[address] = p
+		p = &pool{u: u, to: to}
+		u.pools[to] = p
 	}
 	return p
 }
 
 // Send finds a connection for an attempt; the core hears Connected or Ended.
 func (u *Upstream) Send(e core.Send, message *Request) {
-	x := &errand{ref: e.Ref, address: e.Address, message: message, until: u.now() + e.Wait}
+	x := &errand{ref: e.Ref, pool: u.pool(e.To), message: message, until: u.now() + e.Wait}
 	u.errands[e.Ref] = x
-	u.pool(e.Address).take(x)
+	x.pool.take(x)
 }
 
 // Probe asks a feed server whether it serves.
 func (u *Upstream) Probe(e core.Probe) {
 	x := &errand{
-		probe: true, backend: e.Backend, address: e.Address, until: u.now() + core.ProbeTimeout,
+		probe: true, pool: u.pool(e.To), until: u.now() + core.ProbeTimeout,
 		message: &Request{Method: http1.MethodGet, Target: "/ping"},
 	}
 	u.probes[x] = struct{}{}
-	u.pool(e.Address).take(x)
+	x.pool.take(x)
 }
 
 // take gives the errand the newest idle connection, or has one opened.
 func (p *pool) take(x *errand) {
 	p.barred = false
-	if n := len(p.idle); n > 0 {
+	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		p.assign(c, x)
-		return
+		if c.sock.Silent() {
+			p.assign(c, x)
+			return
+		}
+		c.sock.Close() // something came that nobody asked for, or the end
 	}
 	x.waiting = true
 	p.queue = append(p.queue, x)
@@ -165,11 +182,11 @@
 
 // dial opens connections for what waits, no more than that and not all at once.
 func (p *pool) dial() {
-	for p.dials < maxDials && p.dials < len(p.queue) {
+	for p.dials < maxDials && p.dials+len(p.resting) < len(p.queue) {
 		p.dials++
 		p.u.Opened++
 		c := &conn{pool: p, parser: http1.NewResponseParser(http1.MaxBody)}
-		p.u.engine.Dial(p.address, p.u.dialFor, func(s *sock.Conn) sock.Handler {
+		p.u.engine.Dial(p.to.Address, p.u.dialFor, func(s *sock.Conn) sock.Handler {
 			c.sock = s
 			return c
 		}, func(_ *sock.Conn, err error) {
@@ -187,7 +204,7 @@
 // failed ends the errand that has waited longest: the failed dial was its own.
 func (p *pool) failed(err error) {
 	if x := p.next(); x != nil {
-		p.u.fail(x, &Failure{Connecting, p.address, err})
+		p.u.fail(x, &Failure{Connecting, p.to.Address, err})
 	}
 	p.dial()
 }
@@ -198,7 +215,7 @@
 		return nil
 	}
 	x := p.queue[0]
-	p.queue = p.queue[1:]
+	p.queue = slices.Delete(p.queue, 0, 1)
 	x.waiting = false
 	return x
 }
@@ -217,6 +234,30 @@
 	p.idle = append(p.idle, c)
 }
 
+// rest keeps a connection that has just brought an answer from being used at once.
+func (p *pool) rest(c *conn) {
+	if p.barred {
+		c.sock.Close()
+		return
+	}
+	c.since = p.u.now()
+	p.resting = append(p.resting, c)
+}
+
+// wake gives connections that have rested to what waits.
+func (p *pool) wake(now time.Duration) {
+	for len(p.resting) > 0 && now-p.resting[0].since >= restFor {
+		c := p.resting[0]
+		p.resting = slices.Delete(p.resting, 0, 1)
+		if c.sock.Silent() {
+			p.release(c)
+		} else {
+			c.sock.Close()
+			p.dial()
+		}
+	}
+}
+
 func (p *pool) assign(c *conn, x *errand) {
 	c.errand, c.wrote, c.heard = x, false, false
 	x.conn, x.waiting = c, false
@@ -236,7 +277,7 @@
 
 func (c *conn) write(now time.Duration) {
 	m := c.errand.message
-	fields := http1.Fields{{Name: "Host", Value: c.pool.address}}
+	fields := http1.Fields{{Name: "Host", Value: c.pool.to.Address}}
 	if m.ID != "" {
 		fields = append(fields, http1.Field{Name: "X-Request-Id", Value: m.ID})
 	}
@@ -263,7 +304,7 @@
 	u.done(x)
 	if x.waiting { // no connection is to be opened for it any more
 		x.waiting = false
-		p := u.pools[x.address]
+		p := x.pool
 		p.queue = slices.DeleteFunc(p.queue, func(other *errand) bool { return other == x })
 	}
 	if c := x.conn; c != nil {
@@ -291,7 +332,7 @@
 	x.conn = nil
 	slog.Info("attempt failed", "server", f.Address, "stage", f.Stage, "probe", x.probe, "err", f.Err)
 	if x.probe {
-		u.emit(core.Probed{Backend: x.backend, Status: f.Status()})
+		u.emit(core.Probed{Backend: x.pool.to.Backend, Status: f.Status()})
 		return
 	}
 	u.emit(core.Ended{Ref: x.ref, Status: f.Status()})
@@ -303,12 +344,12 @@
 		c.lost(fmt.Errorf("%d bytes that nobody asked for", len(data)))
 		return
 	}
-	c.heard = true
+	c.heard, c.since = true, c.pool.u.now()
 	c.parser.Feed(data)
 	m, err := c.parser.Next()
 	switch {
 	case err != nil:
-		c.lost(err)
+		c.fail(Spoilt, err)
 	case m != nil:
 		c.answered(m)
 	}
@@ -330,7 +371,6 @@
 
 // lost ends the connection and its errand without an answer.
 func (c *conn) lost(err error) {
-	x := c.errand
 	stage := Connecting
 	switch {
 	case c.heard:
@@ -340,21 +380,24 @@
 	case c.wrote:
 		stage = Writing
 	}
+	c.fail(stage, err)
+}
+
+func (c *conn) fail(stage Stage, err error) {
+	x := c.errand
 	c.errand = nil
 	c.sock.Close()
 	c.pool.remove(c)
 	if x != nil {
-		c.pool.u.fail(x, &Failure{stage, c.pool.address, err})
+		c.pool.u.fail(x, &Failure{stage, c.pool.to.Address, err})
 	}
 }
 
 func (p *pool) remove(c *conn) {
-	for i := range p.idle {
-		if p.idle[i] == c {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			return
-		}
-	}
+	same := func(other *conn) bool { return other == c }
+	p.idle = slices.DeleteFunc(p.idle, same)
+	p.resting = slices.DeleteFunc(p.resting, same)
+	p.dial() // for what waited for it
 }
 
 // answered ends the errand with what the feed server said.
@@ -367,7 +410,7 @@
 	if m.Close || !c.parser.Idle() || c.sock.Unsent() > 0 {
 		c.sock.Close()
 	} else {
-		c.pool.release(c)
+		c.pool.rest(c)
 	}
 	status := piernotch.Error
 	switch {
@@ -378,23 +421,28 @@
 		status = piernotch.Full
 	}
 	if x.probe {
-		u.emit(core.Probed{Backend: x.backend, Status: status})
+		u.emit(core.Probed{Backend: x.pool.to.Backend, Status: status})
 		return
 	}
 	ended := core.Ended{Ref: x.ref, Status: status}
 	if status == piernotch.OK {
 		ended.Answer = &Answer{ContentType: m.Fields.Get("content-type"), Body: m.Body}
 	} else {
-		slog.Info("attempt not served", "server", c.pool.address, "status", m.Status, "ran", status != piernotch.Full)
+		slog.Info("attempt not served", "server", c.pool.to.Address, "status", m.Status, "ran", status != piernotch.Full)
 	}
 	u.emit(ended)
 }
 
-// Forget closes idle connections to an address and keeps no further ones.
-func (u *Upstream) Forget(address string) {
-	if p := u.pools[address]; p != nil {
+// Forget closes idle connections to a server and keeps no further ones.
+func (u *Upstream) Forget(to core.Place) {
+	if p := u.pools[to]; p != nil {
 		p.barred = true
 		p.shed(len(p.idle))
+		for _, c := range p.resting {
+			c.sock.Close()
+		}
+		p.resting = nil
+		p.dial()
 	}
 }
 
@@ -403,7 +451,7 @@
 	for _, c := range p.idle[:n] {
 		c.sock.Close()
 	}
-	p.idle = append(p.idle[:0], p.idle[n:]...)
+	p.idle = slices.Delete(p.idle, 0, n)
 }
 
 // Shed closes all idle connections, because descriptors are short.
@@ -413,8 +461,9 @@
 	}
 }
 
-// Tick closes connections that have been idle for too long, and probes that
-// were not answered; attempts are timed by the core.
+// Tick gives rested connections out, and closes those that have been idle for too
+// long, those whose answer has stopped half-way, and probes that were not answered;
+// attempts are timed by the core.
 func (u *Upstream) Tick() {
 	now := u.now()
 	for x := range u.probes {
@@ -422,14 +471,22 @@
 			u.abandon(x)
 		}
 	}
-	for address, p := range u.pools {
+	for _, x := range u.errands {
+		if c := x.conn; c != nil && c.heard && now-c.since > stallFor {
+			c.fail(Spoilt, errStalled)
+		}
+	}
+	for to, p := range u.pools {
+		p.wake(now)
 		n := 0
 		for n < len(p.idle) && now-p.idle[n].since > u.keep {
 			n++
 		}
 		p.shed(n)
-		if p.barred && len(p.idle)+len(p.queue)+p.dials == 0 {
-			delete(u.pools, address)
+		if p.barred && len(p.idle)+len(p.resting)+len(p.queue)+p.dials == 0 {
+			delete(u.pools, to)
 		}
 	}
 }
+
+var errStalled = errors.New("the answer has stopped half-way")
