Keep a class away from a server that leaves only that class unanswered

Ruled out: ejections (0 to 3 a server), cold starts, dials. At fault: learn() in balancer.go kept no account by class, so a server that answered reads was as good as any for what it hung on. Changed: a running share of failures by server and class; where one class fails and others do not, it keeps away but for one trial in four aims.

--- a/balancer.go
+++ b/balancer.go
@@ -1,8 +1,7 @@
 // The decision module. The interface it implements and uses (Settings, events,
 // Host) is in piernotch.go, the records it keeps in state.go, running rates in
-// estimate.go. It reads in the order of a request's life: set-up,
-// arrival and admission, choosing a group, a lane and a backend, the guard and
-// the send, outcomes, health, the sweep over what is open, and the list.
+// estimate.go. It reads in the order of a request's life: set-up, arrival, choosing
+// a backend, the guard and the send, outcomes, health, the sweep, and the list.
 
 package piernotch
 
@@ -25,6 +24,7 @@
 	spillers      = 3.0      // proxies of other zones that spill to one backend
 	wayAnswers    = 64       // answers that tell how long the way to a zone is
 	wayShare      = 0.75     // the most of what is out that counts as on its way
+	spurned       = 0.3      // a class that fails so often where others do not keeps away
 	deviations    = 4.0      // silence counts from this many mean deviations on, as in TCP
 	sweepsPerAim  = 16.0     // sweeps within the shortest aim
 )
@@ -70,7 +70,6 @@
 	watching bool // a subscription is asked for or stands
 	watchAt  time.Duration
 	watchGap time.Duration
-	listLag  time.Duration
 }
 
 // New returns a Balancer, or an error that names the setting it cannot use.
@@ -95,7 +94,6 @@
 	}
 	b.sweep = max(s.Tick, time.Duration(float64(b.shortAim)/sweepsPerAim))
 	b.watchGap = s.Rules.AskWithin / 8
-	b.listLag = s.Rules.Cold / 4
 	b.quota = make([]bucket, len(s.Tenants))
 	b.rankBands()
 	return b, nil
@@ -238,7 +236,8 @@
 	var best *backend
 	for _, level := range b.levels[1:] {
 		for _, to := range b.groups[level.away].members {
-			if b.load(to) >= level.depth || b.foreign(to) || r.tried(to) || !b.may(now, r, to) {
+			if b.load(to) >= level.depth || b.foreign(to) || b.spurns(now, r, to) ||
+				r.tried(to) || !b.may(now, r, to) {
 				continue
 			}
 			if best == nil || b.expected(r, to) < b.expected(r, best) {
@@ -259,10 +258,22 @@
 	return (to.backlog + r.work) * pace
 }
 
+// spurns tells whether the backend answers other classes but leaves this one
+// without, but for a request now and then that tries it again.
+func (b *Balancer) spurns(now time.Duration, r *request, to *backend) bool {
+	own, least := to.failing[r.Class], 1.0
+	for class, share := range to.failing {
+		if class != r.Class {
+			least = min(least, share)
+		}
+	}
+	return own > spurned && own > 3*least && now < to.sent[r.Class]+4*r.class.Aim
+}
+
 // fits tells whether the backend is likely to answer in time. A heavy request on
 // a slow backend is late for certain, and so is a light one behind it.
 func (b *Balancer) fits(now time.Duration, r *request, to *backend) bool {
-	return b.expected(r, to) <= fit*float64(r.aim-now)/float64(time.Millisecond)
+	return !b.spurns(now, r, to) && b.expected(r, to) <= fit*float64(r.aim-now)/float64(time.Millisecond)
 }
 
 // levels are tried in turn. A zone counts as empty when each of its backends
@@ -447,6 +458,7 @@
 func (b *Balancer) send(now time.Duration, r *request, to *backend) {
 	to.inflight++
 	to.backlog += r.work
+	to.sent[r.Class] = now
 	b.sent.add(now, r.work)
 	if to.coldSince < 0 {
 		b.groups[to.away].sent.add(now, r.work)
@@ -488,10 +500,9 @@
 	return time.Duration(min(b.meanWork/perSec, b.set.Rules.Cold.Seconds()) * float64(time.Second))
 }
 
-// warmRate is the work a second that this proxy sends a warm backend of size 1.
-// What arrives would be the wrong measure: client retries make it a multiple of
-// any capacity. A few warm backends left in a zone may be drowning, so they count
-// as half the zone at least. Where all is cold, the fleet's mean has to do.
+// warmRate is the work a second that this proxy sends a warm backend of size 1
+// (what arrives is a multiple of any capacity, by clients' retries). A few left warm
+// in a zone may be drowning: they count as half of it. If all is cold, the mean counts.
 func (b *Balancer) warmRate(now time.Duration) float64 {
 	most := 0.0
 	for i := range b.groups {
@@ -557,6 +568,10 @@
 	if o.Status == OK || o.Status == Full || o.Status == Error {
 		to.answered = now
 	}
+	late := o.Status == Timeout || o.Status == Cancelled && o.Latency > r.class.Aim/2
+	if late && to.answered >= t.sent || o.Status == OK || o.Status == Error {
+		to.failing[r.Class] += backendWeight * (share(o.Status != OK) - to.failing[r.Class])
+	}
 	switch {
 	case o.Status == Timeout && to.answered < t.sent:
 		// The attempt timed out before the sweep noticed the silence, which is the
@@ -610,7 +625,7 @@
 	b.controlled = now
 	b.balanceLanes(pace, r.lane, share(wait > aim/2))
 	if r.work < aim/4 { // a heavy request is late on an idle server, too
-		b.control(pace, g, share(took > r.class.Aim/2))
+		b.control(pace, to.away, share(took > r.class.Aim/2))
 	}
 }
 
@@ -625,14 +640,11 @@
 
 // control moves shedding by the answers that come late: after half their aim, so
 // that there is time to act.
-func (b *Balancer) control(pace float64, g *group, late float64) {
+func (b *Balancer) control(pace float64, away int, late float64) {
+	g, other := &b.groups[away], &b.groups[1-away]
 	g.late += smoothing * (late - g.late)
 	g.heard = b.controlled
 	// Work is shed only when it comes late wherever it goes: spilling is cheaper.
-	other := &b.groups[0]
-	if g == other {
-		other = &b.groups[1]
-	}
 	step := -pace / 2
 	if late > 0 && (len(other.members) == 0 || other.late > 2*smoothing) {
 		step = pace
@@ -652,7 +664,7 @@
 	to.ejected = 0
 	if to.coldSince < 0 && broken {
 		b.chill(now, to, now)
-		to.doubt = now + b.listLag
+		to.doubt = now + b.set.Rules.Cold/4
 	}
 	b.dirty = true
 }
@@ -946,6 +958,7 @@
 			return
 		}
 		to = &backend{Entry: e, coldSince: -1, rank: b.rng.Float64()}
+		to.failing, to.sent = make([]float64, len(b.set.Classes)), make([]time.Duration, len(b.set.Classes))
 		if e.Zone != b.set.Zone {
 			to.away = 1
 		}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -967,3 +967,37 @@
 		}
 	}
 }
+
+// One class hung at some servers that answered the others: its requests took up all
+// the room there for an aim each, and every one of them was lost.
+func TestAClassThatABackendLeavesUnansweredKeepsAway(t *testing.T) {
+	set := settings()
+	b, h := start(t, set, fleet(2, 1))
+	now := time.Second
+	send := func(class int) BackendID {
+		id := RequestID(len(b.byID)) + RequestID(now)
+		b.Request(now, ask(id, class, 10))
+		return h.last().to
+	}
+	bad := b.backends[1]
+	for range 4 {
+		now += 100 * ms
+		hung := &attempt{to: bad, sent: now - 50*ms}
+		b.learn(now, &request{class: &set.Classes[safeClass], work: 10}, &attempt{to: bad, sent: now}, Outcome{Status: OK, Latency: ms})
+		b.learn(now, &request{Request: Request{Class: unsafeClass}, class: &set.Classes[unsafeClass], work: 10}, hung,
+			Outcome{Status: Timeout, Latency: 50 * ms})
+	}
+	bad.sent[unsafeClass] = now
+	for range 2 {
+		if to := send(unsafeClass); to == 1 {
+			t.Error("sent to where its class is left without answer")
+		}
+	}
+	if to := send(safeClass); to != 1 {
+		t.Errorf("the other class went to %d", to)
+	}
+	now += 4 * set.Classes[unsafeClass].Aim
+	if to := send(unsafeClass); to != 1 {
+		t.Errorf("no trial: sent to %d", to)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -45,21 +45,23 @@
 	weight    float64 // what round robin goes by: size, speed and warmth
 	credit    float64
 	inflight  int
-	backlog   float64       // work of this proxy's requests there, by the hints, ms
-	pace      float64       // time its answers take for each unit of their work; 0: not known
-	latency   float64       // mean latency of an average request here, ms
-	path      *path         // to its zone
-	answered  time.Duration // when it last answered anything
-	coldSince time.Duration // start of its slow start; <0: warm
-	coldNext  time.Duration // no send before this while cold
-	doubt     time.Duration // a slow start without word of a restart ends here
-	strikes   int           // failures in a row
-	broken    bool          // connections broke since its last answer of use
-	ejected   int           // ejections in a row; 0: ready
-	retryAt   time.Duration // an ejected backend may have one trial from here on
-	trial     bool          // that trial is out
-	probing   bool          // a probe is out
-	probed    bool          // it has answered one since its ejection
+	backlog   float64         // work of this proxy's requests there, by the hints, ms
+	pace      float64         // time its answers take for each unit of their work; 0: not known
+	latency   float64         // mean latency of an average request here, ms
+	path      *path           // to its zone
+	failing   []float64       // share of requests that fail though it lives, by class
+	sent      []time.Duration // when one was last sent, by class
+	answered  time.Duration   // when it last answered anything
+	coldSince time.Duration   // start of its slow start; <0: warm
+	coldNext  time.Duration   // no send before this while cold
+	doubt     time.Duration   // a slow start without word of a restart ends here
+	strikes   int             // failures in a row
+	broken    bool            // connections broke since its last answer of use
+	ejected   int             // ejections in a row; 0: ready
+	retryAt   time.Duration   // an ejected backend may have one trial from here on
+	trial     bool            // that trial is out
+	probing   bool            // a probe is out
+	probed    bool            // it has answered one since its ejection
 }
 
 type attempt struct {
