Take only failed connects for a restart; resets strike out at three

Checked in the log: resets come one connection at a time (132 waiting, 30 half-way) from servers that serve on. At fault: learn() and restore() took two resets in a row for a restart and held the server to one request at a time for a quarter of the cold time.

--- a/balancer.go
+++ b/balancer.go
@@ -586,10 +586,10 @@
 		b.restore(now, to)
 	case o.Status == Full: // as bad as a wait until the aim
 		b.measure(now, r, to, r.class.Aim)
-	case o.Status == Error: // it lives, and an answer now and then is no good
+	case o.Status == Error, o.Status == Reset: // now and then, of a backend that lives
 		b.strike(now, to, 3)
-	case o.Status == ConnectFailed, o.Status == Reset:
-		to.broken = true
+	case o.Status == ConnectFailed:
+		to.down = true
 		b.strike(now, to, 2)
 	}
 }
@@ -652,17 +652,17 @@
 	b.shed = min(max(b.shed+step, 0), 1)
 }
 
-// restore ends an ejection. If connections broke, nobody has told this proxy why,
-// so the backend comes back as if cold until the list has had time to name a restart.
+// restore ends an ejection. If connections were refused, the process may be a new one:
+// the backend comes back as if cold until the list has had time to name a restart.
 // One that was only silent, slow or wrong kept its process and is as warm as before.
 func (b *Balancer) restore(now time.Duration, to *backend) {
-	broken := to.broken
-	to.strikes, to.broken = 0, false
+	down := to.down
+	to.strikes, to.down = 0, false
 	if to.ejected == 0 {
 		return
 	}
 	to.ejected = 0
-	if to.coldSince < 0 && broken {
+	if to.coldSince < 0 && down {
 		b.chill(now, to, now)
 		to.doubt = now + b.set.Rules.Cold/4
 	}
