Three connects that fail in a row strike out, and two of them make a restart

Checked by outcomes in the log: resets in a row followed by one connect that was reset, at servers that answered before and after; no restart was listed. At fault: learn() ejected at the second, and one failed connect counted as a restart.

--- a/balancer.go
+++ b/balancer.go
@@ -586,11 +586,9 @@
 		b.restore(now, to)
 	case o.Status == Full: // as bad as a wait until the aim
 		b.measure(now, r, to, r.class.Aim)
-	case o.Status == Error, o.Status == Reset: // now and then, of a backend that lives
-		b.strike(now, to, 3)
-	case o.Status == ConnectFailed:
-		to.down = true
-		b.strike(now, to, 2)
+	case o.Status == ConnectFailed, o.Status == Error, o.Status == Reset:
+		to.down += share(o.Status == ConnectFailed)
+		b.strike(now, to, 3) // a backend that lives has one now and then
 	}
 }
 
@@ -652,17 +650,17 @@
 	b.shed = min(max(b.shed+step, 0), 1)
 }
 
-// restore ends an ejection. If connections were refused, the process may be a new one:
-// the backend comes back as if cold until the list has had time to name a restart.
+// restore ends an ejection. If connects kept failing, the process may be a new one: the
+// backend comes back as if cold until the list has had time to name a restart.
 // One that was only silent, slow or wrong kept its process and is as warm as before.
 func (b *Balancer) restore(now time.Duration, to *backend) {
 	down := to.down
-	to.strikes, to.down = 0, false
+	to.strikes, to.down = 0, 0
 	if to.ejected == 0 {
 		return
 	}
 	to.ejected = 0
-	if to.coldSince < 0 && down {
+	if to.coldSince < 0 && down >= 2 {
 		b.chill(now, to, now)
 		to.doubt = now + b.set.Rules.Cold/4
 	}
@@ -765,6 +763,7 @@
 		return
 	}
 	to.probing = false
+	to.down += share(status == ConnectFailed)
 	if status == OK {
 		to.probed, b.dirty = true, true
 		return
--- a/state.go
+++ b/state.go
@@ -56,7 +56,7 @@
 	coldNext  time.Duration   // no send before this while cold
 	doubt     time.Duration   // a slow start without word of a restart ends here
 	strikes   int             // failures in a row
-	down      bool            // connections failed since its last answer of use
+	down      float64         // connects that failed since its last answer of use
 	ejected   int             // ejections in a row; 0: ready
 	retryAt   time.Duration   // an ejected backend may have one trial from here on
 	trial     bool            // that trial is out
