Count a way that is short against the work too, with a quarter of a request in reserve

Checked by counters in the log: no shedding, no cold servers, one or two ejected. At fault: load() left the way out of account unless it was longer than the mean work, and took half a mean request off it.

--- a/balancer.go
+++ b/balancer.go
@@ -287,15 +287,16 @@
 }
 
 // load is how many of this proxy's requests the backend has in hand. The rest are
-// on their way there or back: where that takes longer than the work, a bound on
-// all that are out would leave it idle. The way to a zone is its quickest answer's
-// time less half a mean request, and never rises: a jam must not pass for a long way.
+// on their way there or back: where that takes long, a bound on all that are out
+// would leave it idle. The way to a zone is its quickest answer's time less a light
+// request, and never rises: a jam must not pass for a long way. Most of a request
+// on its way makes no room for another.
 func (b *Balancer) load(to *backend) float64 {
-	way := to.path.quickest - b.meanWork/2
-	if to.path.answers < wayAnswers || way <= b.meanWork || to.latency <= 0 {
+	way := to.path.quickest - b.meanWork/4
+	if to.path.answers < wayAnswers || way <= b.meanWork/4 || to.latency <= 0 {
 		return float64(to.inflight)
 	}
-	return float64(to.inflight) * (1 - min(way/to.latency, wayShare))
+	return float64(to.inflight)*(1-min(way/to.latency, wayShare)) + 0.25
 }
 
 // pick takes the next backend of the request's lane, or else of the other lane.
