--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,613 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Never is a time that does not come.
+const Never = time.Duration(math.MaxInt64)
+
+// Life is whether a server's process runs.
+type Life uint8
+
+// Lives.
+const (
+	Up       Life = iota
+	Draining      // finishes what it has, turns new work away
+	Down          // connections are refused
+	Silent        // it vanished: nothing is said any more
+	Fallen        // pushed over while cold; refuses like Down, and stays down
+)
+
+// String names a life, as reports do.
+func (l Life) String() string {
+	return [...]string{"up", "draining", "down", "silent", "fallen"}[l]
+}
+
+// Job is a request as the server sees it.
+type Job struct {
+	ID      uint64
+	Work    float64       // ms on a yardstick core
+	Key     uint64        // 0: none
+	Expires time.Duration // after it nobody waits any more; 0: not told
+	Luck    float64       // a draw from [0, 1): below the error rate, the answer is an error
+}
+
+// Entry is what became of a job on arrival.
+type Entry uint8
+
+// Entries.
+const (
+	Accepted   Entry = iota
+	TurnedAway       // the queue is full, or the server drains; it never ran
+	Refused          // no process is there
+	Unheard          // nothing comes back
+)
+
+// Ending is how an accepted job ended.
+type Ending uint8
+
+// Endings.
+const (
+	Answered Ending = iota
+	Erred           // answered with an error after running
+	Expired         // dropped from the queue, unrun
+	Reset           // the process died; it may have run
+)
+
+// Done is the end of one job.
+type Done struct {
+	ID      uint64
+	Ending  Ending
+	Started bool    // it had begun to run
+	Spent   float64 // work spent on it, ms
+}
+
+// Load is a load report.
+type Load struct {
+	ErrorsPerSec float64
+	PerSec       float64 // requests answered a second
+	Inflight     float64 // requests held
+}
+
+const (
+	coldStep    = 200 * time.Millisecond // grain in which warmth moves while there is work
+	chokeStep   = 100 * time.Millisecond // grain in which a choked server is looked at
+	busyHorizon = float64(time.Second)   // horizon of the busy share, ns
+	snapshots   = 16                     // load reports kept, enough for the longest lateness
+)
+
+type running struct {
+	Job
+	left, spent float64 // ms
+}
+
+type snapshot struct {
+	at   time.Duration
+	load Load
+}
+
+type pushed struct {
+	at   time.Duration
+	work float64
+}
+
+// Server is one feed server. The zero value is not usable; see New.
+type Server struct {
+	kind   Kind
+	pauses *rand.Rand // drawn from at scripted times only, whatever the load
+	noise  *rand.Rand
+	life   Life
+
+	now     time.Duration
+	run     []running
+	queue   []Job
+	debt    float64 // work for connections and probes, done before anything else, ms
+	tax     float64 // share of the speed that connections take
+	slow    float64 // a slow spell: how many times slower, 1: none
+	started time.Duration
+	done    float64 // work done since the start, ms
+	warm    bool
+
+	pauseAt, pauseEnd time.Duration
+	spell             struct{ every, length time.Duration } // a trouble's pauses, instead of the kind's
+
+	crowded    time.Duration // since when too many wait; Never: they don't
+	choked     bool
+	chokedAt   time.Duration
+	idleSince  time.Duration
+	busy       float64 // running share of busy time
+	keys       *simplelru.LRU[uint64, time.Duration]
+	recent     []pushed // what reached it while cold
+	recentWork float64
+
+	reportAt        time.Duration
+	answered, erred int
+	reports         [snapshots]snapshot
+	reported        int
+
+	spent float64 // all work done, ms
+	dones []Done
+}
+
+// New returns a server that runs and is warm. Its random numbers (pauses, report
+// noise) come from seed alone, so that they are the same whatever it is sent.
+func New(kind Kind, seed uint64, now time.Duration) (*Server, error) {
+	if err := kind.Validate(); err != nil {
+		return nil, err
+	}
+	s := &Server{kind: kind, now: now, slow: 1, warm: true,
+		pauses: rand.New(rand.NewPCG(seed, 1)), noise: rand.New(rand.NewPCG(seed, 2))}
+	if kind.Keys.Most > 0 && kind.Keys.Gain > 0 {
+		s.keys, _ = simplelru.NewLRU[uint64, time.Duration](kind.Keys.Most, nil)
+	}
+	s.reset(now)
+	s.reportAt = Never
+	if kind.Report.Every > 0 {
+		s.reportAt = now + time.Duration(s.noise.Float64()*float64(kind.Report.Every))
+	}
+	return s, nil
+}
+
+func (s *Server) reset(now time.Duration) {
+	s.run, s.queue, s.debt = s.run[:0], s.queue[:0], 0
+	s.crowded, s.idleSince, s.choked, s.busy = Never, Never, false, 0
+	s.recent, s.recentWork, s.done = s.recent[:0], 0, 0
+	s.pauseEnd = 0
+	s.planPause(now)
+	if s.keys != nil {
+		s.keys.Purge()
+	}
+}
+
+// Kind returns what the server was made of.
+func (s *Server) Kind() *Kind { return &s.kind }
+
+// Life tells whether the process runs.
+func (s *Server) Life() Life { return s.life }
+
+// Holds is how many requests it has in work and waiting.
+func (s *Server) Holds() int { return len(s.run) + len(s.queue) }
+
+// Waiting is how many of them wait.
+func (s *Server) Waiting() int { return len(s.queue) }
+
+// Choked tells whether it is in the slow state that overload leaves behind.
+func (s *Server) Choked() bool { return s.choked }
+
+// Busy is the share of about the last second that it worked.
+func (s *Server) Busy() float64 { return s.busy }
+
+// Spent is all the work that it has done, ms.
+func (s *Server) Spent() float64 { return s.spent }
+
+// Started is when its process last started; 0: long ago.
+func (s *Server) Started() time.Duration { return s.started }
+
+// Start begins a new process, which is cold.
+func (s *Server) Start(now time.Duration) []Done {
+	s.move(now)
+	ended := s.drop()
+	s.reset(now)
+	s.life, s.started, s.warm, s.now = Up, now, s.kind.Cold == 0, now
+	return ended
+}
+
+// Drain has it turn new work away; what it holds is finished.
+func (s *Server) Drain(now time.Duration) {
+	s.move(now)
+	if s.life == Up {
+		s.life = Draining
+	}
+}
+
+// Crash ends the process: what it held is reset.
+func (s *Server) Crash(now time.Duration) []Done {
+	s.move(now)
+	s.life = Down
+	return s.drop()
+}
+
+// Vanish cuts it off: what it held is never answered, and nothing new is. The jobs
+// are returned, but nobody is told.
+func (s *Server) Vanish(now time.Duration) []Done {
+	s.move(now)
+	s.life = Silent
+	return s.drop()
+}
+
+// drop takes all work out and returns it as reset.
+func (s *Server) drop() []Done {
+	s.dones = s.dones[:0]
+	for _, r := range s.run {
+		s.dones = append(s.dones, Done{ID: r.ID, Ending: Reset, Started: true, Spent: r.spent})
+	}
+	for _, j := range s.queue {
+		s.dones = append(s.dones, Done{ID: j.ID, Ending: Reset})
+	}
+	s.run, s.queue, s.debt = s.run[:0], s.queue[:0], 0
+	return s.dones
+}
+
+// SetSlow begins a slow spell of so many times, or with 1 ends it.
+func (s *Server) SetSlow(now time.Duration, times float64) {
+	s.move(now)
+	s.slow = max(times, 1)
+}
+
+// SetPauses has it stand still for length every so often instead of as its kind
+// does; zeros end that.
+func (s *Server) SetPauses(now, every, length time.Duration) {
+	s.move(now)
+	s.spell.every, s.spell.length = every, length
+	s.planPause(now)
+}
+
+// SetTable tells how many connections are open.
+func (s *Server) SetTable(now time.Duration, open int) {
+	if s.kind.Conn.Most > 0 && s.kind.Conn.Tax > 0 {
+		s.move(now)
+		s.tax = s.kind.Conn.Tax * min(float64(open)/float64(s.kind.Conn.Most), 1)
+	}
+}
+
+// Charge adds work that serves no request: a handshake, a probe. It is done first,
+// and counts towards a fall, which only a request can set off.
+func (s *Server) Charge(now time.Duration, work float64) {
+	if s.life == Up || s.life == Draining {
+		s.move(now)
+		s.debt += work
+		s.push(now, work)
+	}
+}
+
+// Warmth is the share of its capacity that the server has at the moment, by warm-up
+// alone.
+func (s *Server) Warmth(now time.Duration) float64 {
+	if s.warm || s.kind.Cold == 0 {
+		return 1
+	}
+	part := float64(now-s.started) / float64(s.kind.Cold)
+	if s.kind.WarmBy == WarmByWork {
+		// As if it had been half busy all the time that it may take.
+		need := s.kind.Capacity() * s.kind.Cold.Seconds() / 2
+		part = max(part, s.done/need)
+	}
+	if part >= 1 {
+		s.warm = true
+		s.recent, s.recentWork = nil, 0
+		return 1
+	}
+	return s.kind.ColdFrom + (1-s.kind.ColdFrom)*part
+}
+
+// Cold tells whether it still warms up.
+func (s *Server) Cold(now time.Duration) bool { return s.life <= Draining && s.Warmth(now) < 1 }
+
+// rate is the work that each running job gets done in a millisecond, ms.
+func (s *Server) rate(now time.Duration) float64 {
+	if s.life > Draining || now < s.pauseEnd {
+		return 0
+	}
+	r := s.kind.Speed * s.Warmth(now) * (1 - s.tax) / s.slow
+	if n := len(s.run); n > s.kind.Cores {
+		r *= float64(s.kind.Cores) / float64(n)
+	}
+	if s.choked {
+		r /= s.kind.Choke.Slower
+	}
+	if s.kind.Thrash > 0 && s.kind.ThrashAt > 0 {
+		over := float64(s.Holds())/float64(s.kind.Cores)/s.kind.ThrashAt - 1
+		r *= 1 - s.kind.Thrash*min(max(over, 0), 1)
+	}
+	return r
+}
+
+// Arrive brings a job. A fall that it causes shows in Life; the jobs lost by it are
+// returned.
+func (s *Server) Arrive(now time.Duration, j Job) (Entry, []Done) {
+	s.move(now)
+	switch s.life {
+	case Silent:
+		return Unheard, nil
+	case Down, Fallen:
+		return Refused, nil
+	}
+	if s.push(now, j.Work) {
+		s.life = Fallen
+		return Refused, s.drop()
+	}
+	if s.life == Draining || len(s.run) >= s.kind.Slots && len(s.queue) >= s.kind.Queue {
+		return TurnedAway, nil
+	}
+	if len(s.run) < s.kind.Slots {
+		s.begin(now, j)
+	} else {
+		s.queue = append(s.queue, j)
+		s.crowd(now)
+	}
+	return Accepted, nil
+}
+
+// push notes work that reached a cold server, and tells whether it falls.
+func (s *Server) push(now time.Duration, work float64) bool {
+	f := &s.kind.Fall
+	if f.Multiple == 0 || s.warm || s.Warmth(now) >= 1 {
+		return false
+	}
+	s.recent = append(s.recent, pushed{now, work})
+	s.recentWork += work
+	for len(s.recent) > 0 && s.recent[0].at <= now-f.For {
+		s.recentWork -= s.recent[0].work
+		s.recent = s.recent[1:]
+	}
+	budget := f.Multiple * s.kind.Capacity() * s.Warmth(now) * f.For.Seconds()
+	// One request alone is nobody's flood.
+	return len(s.recent) > 1 && s.recentWork > budget*(1+FallSlack)
+}
+
+// begin takes a job into work.
+func (s *Server) begin(now time.Duration, j Job) {
+	left := j.Work
+	if s.keys != nil && j.Key != 0 {
+		if met, ok := s.keys.Get(j.Key); ok && now-met <= s.kind.Keys.For {
+			left *= 1 - s.kind.Keys.Gain
+		}
+		s.keys.Add(j.Key, now)
+	}
+	s.run = append(s.run, running{Job: j, left: left})
+}
+
+// refill takes waiting jobs into free slots.
+func (s *Server) refill(now time.Duration) {
+	for len(s.queue) > 0 && len(s.run) < s.kind.Slots {
+		j := s.queue[0]
+		s.queue = s.queue[:copy(s.queue, s.queue[1:])]
+		if s.kind.DropExpired && j.Expires > 0 && now >= j.Expires {
+			s.dones = append(s.dones, Done{ID: j.ID, Ending: Expired})
+			continue
+		}
+		s.begin(now, j)
+	}
+	s.crowd(now)
+}
+
+// crowd notes since when too many wait.
+func (s *Server) crowd(now time.Duration) {
+	if s.kind.Choke.At > 0 && float64(len(s.queue)) > s.kind.Choke.At*float64(s.kind.Cores) {
+		if s.crowded == Never {
+			s.crowded = now
+		}
+		return
+	}
+	s.crowded = Never
+}
+
+// Cancel ends the wait for a job. It tells whether the job is gone, whether it had
+// begun, and the work spent on it; running work goes on where the kind says so.
+func (s *Server) Cancel(now time.Duration, id uint64) (gone, begun bool, spent float64) {
+	s.move(now)
+	for i := range s.queue {
+		if s.queue[i].ID == id {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			s.crowd(now)
+			return true, false, 0
+		}
+	}
+	for i := range s.run {
+		if s.run[i].ID != id {
+			continue
+		}
+		if !s.kind.StopRunning {
+			return false, true, 0
+		}
+		spent = s.run[i].spent
+		s.run = append(s.run[:i], s.run[i+1:]...)
+		// Whoever waited begins at the next Advance, which is due now.
+		return true, true, spent
+	}
+	return false, false, 0
+}
+
+// Next is when Advance must be called at the latest.
+func (s *Server) Next() time.Duration {
+	if s.life > Draining {
+		return Never
+	}
+	if len(s.run) < s.kind.Slots && len(s.queue) > 0 {
+		return s.now
+	}
+	next := Never
+	if s.now < s.pauseEnd {
+		next = s.pauseEnd
+	} else if len(s.run) > 0 {
+		least := s.run[0].left
+		for i := range s.run {
+			least = min(least, s.run[i].left)
+		}
+		if r := s.rate(s.now); r > 0 {
+			next = s.now + ceilMS((s.debt/float64(len(s.run))+least)/r)
+		}
+		if !s.warm {
+			next = min(next, s.now+coldStep)
+		}
+		next = min(next, s.pauseAt)
+	}
+	if s.crowded != Never && !s.choked {
+		next = min(next, max(s.crowded+s.kind.Choke.Over, s.now))
+	}
+	if s.choked {
+		next = min(next, s.now+chokeStep)
+	}
+	return next
+}
+
+// ceilMS turns milliseconds into a time, up to the next microsecond.
+func ceilMS(ms float64) time.Duration {
+	if ms > 1e12 {
+		return Never / 4
+	}
+	return time.Duration(math.Ceil(ms*1000)) * time.Microsecond
+}
+
+// Advance brings the server to now and returns what has ended, in order. The slice
+// is used again by the next call of any method.
+func (s *Server) Advance(now time.Duration) []Done {
+	s.dones = s.dones[:0]
+	s.move(now)
+	if s.life > Draining {
+		return nil
+	}
+	for i := 0; i < len(s.run); {
+		r := &s.run[i]
+		if r.left > 1e-9 {
+			i++
+			continue
+		}
+		end := Answered
+		s.answered++
+		if r.Luck < s.kind.ErrorRate {
+			end = Erred
+			s.erred++
+		}
+		s.dones = append(s.dones, Done{ID: r.ID, Ending: end, Started: true, Spent: r.spent})
+		s.run = append(s.run[:i], s.run[i+1:]...)
+	}
+	s.refill(now)
+	s.choke(now)
+	return s.dones
+}
+
+// move brings work, pauses, reports and the busy share up to now. No job ends in it.
+func (s *Server) move(now time.Duration) {
+	for s.now < now || s.pauseAt <= s.now && s.now >= s.pauseEnd {
+		to := now
+		switch {
+		case s.now < s.pauseEnd:
+			to = min(to, s.pauseEnd)
+		case s.pauseAt <= s.now:
+			s.beginPause()
+			continue
+		default:
+			to = min(to, s.pauseAt)
+		}
+		if s.reportAt > s.now {
+			to = min(to, s.reportAt)
+		}
+		s.work(to)
+		s.now = to
+		if s.reportAt <= s.now {
+			s.snap()
+		}
+	}
+}
+
+// work lets the time up to `to` pass, in which nothing but work happens.
+func (s *Server) work(to time.Duration) {
+	dt := float64(to - s.now)
+	busy := 0.0
+	if s.life <= Draining && (len(s.run) > 0 || s.debt > 0) {
+		busy = min(float64(max(len(s.run), 1))/float64(min(s.kind.Cores, s.kind.Slots)), 1)
+	}
+	s.busy = busy + (s.busy-busy)*math.Exp(-dt/busyHorizon)
+	r := s.rate(s.now)
+	if r == 0 {
+		return
+	}
+	can := r * dt / float64(time.Millisecond) // for each running job
+	n := float64(len(s.run))
+	if s.debt > 0 {
+		paid := min(s.debt, can*max(n, 1))
+		s.debt -= paid
+		s.spent += paid
+		s.done += paid
+		if n == 0 {
+			return
+		}
+		can -= paid / n
+	}
+	for i := range s.run {
+		did := min(can, s.run[i].left)
+		s.run[i].left -= did
+		s.run[i].spent += did
+		s.spent += did
+		s.done += did
+	}
+}
+
+func (s *Server) planPause(now time.Duration) {
+	every, length := s.kind.PauseEvery, s.kind.PauseFor
+	if s.spell.length > 0 {
+		every, length = s.spell.every, s.spell.length
+	}
+	s.pauseAt = Never
+	if length > 0 && every > 0 {
+		s.pauseAt = now + time.Duration((0.5+s.pauses.Float64())*float64(every))
+	}
+}
+
+func (s *Server) beginPause() {
+	begin := s.pauseAt
+	length := s.kind.PauseFor
+	if s.spell.length > 0 {
+		length = s.spell.length
+	}
+	s.planPause(begin)
+	if length == 0 || s.life > Draining {
+		return
+	}
+	grown := float64(length) * (0.5 + s.pauses.Float64()) * (1 + s.kind.PauseGrow*s.busy)
+	s.pauseEnd = max(s.now, begin) + time.Duration(grown)
+}
+
+// choke begins and ends the slow state.
+func (s *Server) choke(now time.Duration) {
+	c := &s.kind.Choke
+	if c.At == 0 {
+		return
+	}
+	if !s.choked {
+		if s.crowded != Never && now-s.crowded >= c.Over {
+			s.choked, s.chokedAt, s.idleSince = true, now, Never
+		}
+		return
+	}
+	switch {
+	case s.busy >= c.Below:
+		s.idleSince = Never
+	case s.idleSince == Never:
+		s.idleSince = now
+	}
+	if s.idleSince != Never && now-s.idleSince >= c.Rest || c.Most > 0 && now-s.chokedAt >= c.Most {
+		s.choked, s.crowded = false, Never
+		s.crowd(now)
+	}
+}
+
+// snap makes a load report.
+func (s *Server) snap() {
+	span := s.kind.Report.Every.Seconds()
+	noisy := func(v float64) float64 { return max(v*(1+s.kind.Report.Noise*s.noise.NormFloat64()), 0) }
+	s.reports[s.reported%snapshots] = snapshot{s.reportAt, Load{
+		ErrorsPerSec: noisy(float64(s.erred) / span), PerSec: noisy(float64(s.answered) / span),
+		Inflight: noisy(float64(s.Holds())),
+	}}
+	s.reported++
+	s.answered, s.erred = 0, 0
+	s.reportAt += s.kind.Report.Every
+}
+
+// Report is the load report that an answer at now carries, when reports come late by
+// a further `late`. It is false before the first one.
+func (s *Server) Report(now, late time.Duration) (Load, bool) {
+	for i := s.reported - 1; i >= 0 && i >= s.reported-snapshots; i-- {
+		if r := &s.reports[i%snapshots]; r.at+s.kind.Report.Delay+late <= now {
+			return r.load, true
+		}
+	}
+	return Load{}, false
+}
--- /dev/null
+++ b/internal/model/model_test.go
@@ -0,0 +1,82 @@
+package model
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/scenario"
+)
+
+// play runs one day of a scenario, with overrides.
+func play(t *testing.T, tier Tier, name string, seed uint64, set ...string) *Result {
+	t.Helper()
+	s, err := scenario.Load(name)
+	require.NoError(t, err)
+	s, err = s.With(set...)
+	require.NoError(t, err)
+	d, err := s.Draw(seed)
+	require.NoError(t, err)
+	w, err := New(d, tier)
+	require.NoError(t, err)
+	r, err := w.Run()
+	require.NoError(t, err)
+	require.Zero(t, w.asks.Len(), "a client waits for ever")
+	require.Zero(t, w.attempts.Len(), "an attempt is never forgotten")
+	return r
+}
+
+func TestEveryShippedScenarioPlaysAndKeepsTheRules(t *testing.T) {
+	for _, name := range scenario.Shipped() {
+		if name == "wide" || name == "long-churn" {
+			continue // the same mechanisms, for minutes
+		}
+		r := play(t, NewInProcess(), name, 7)
+		require.Zero(t, r.Broken(), "%s: %v", name, r.Breaks)
+		require.Greater(t, r.Requests, 1000, name)
+		require.Greater(t, r.Service, 0.3, name)
+		require.InEpsilon(t, r.Little.Held, r.Little.PerSec*r.Little.SojournS, 1e-6, "%s: Little's law", name)
+	}
+}
+
+func TestTheSameSeedPlaysTheSameDay(t *testing.T) {
+	a, b := play(t, NewInProcess(), "felt-quake", 3), play(t, NewInProcess(), "felt-quake", 3)
+	a.WallS, b.WallS, a.ModuleS, b.ModuleS = 0, 0, 0, 0
+	require.Equal(t, a, b)
+	require.NotEqual(t, a.Digest, play(t, NewInProcess(), "felt-quake", 4).Digest)
+}
+
+func TestTrafficIsTheSameWhateverIsDecided(t *testing.T) {
+	a := play(t, NewInProcess(), "addis", 5)
+	b := play(t, NewInProcess(), "addis", 5, "balancers.max_attempts=1", "balancers.second_copies=false")
+	require.NotEqual(t, a.Digest, b.Digest, "the decisions differ")
+	require.Equal(t, a.Requests, b.Requests)
+	for i := range a.Seconds {
+		require.Equal(t, a.Seconds[i].Asked, b.Seconds[i].Asked, "second %d", i)
+	}
+}
+
+func TestOddFleets(t *testing.T) {
+	for _, c := range []struct {
+		what string
+		set  []string
+	}{
+		{"no servers", []string{"fleet.servers=0", "traffic.rate_per_s=20", "length_s=5"}},
+		{"one server", []string{"fleet.servers=1", "length_s=5"}},
+		{"a zone without servers", []string{"zones.servers=[1,1,0,1]", "length_s=5"}},
+		{"a class nobody sends", []string{"class.pick-submit.share=0", "length_s=5"}},
+		{"no traffic", []string{"traffic.load=0", "length_s=5"}},
+	} {
+		r := play(t, NewInProcess(), "quiet", 1, c.set...)
+		require.Zero(t, r.Broken(), "%s: %v", c.what, r.Breaks)
+		switch c.what {
+		case "no servers":
+			require.Positive(t, r.Requests)
+			require.Zero(t, r.ServedShare)
+		case "no traffic":
+			require.Zero(t, r.Requests)
+		default:
+			require.Positive(t, r.ServedShare, c.what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/model/traffic.go
@@ -0,0 +1,227 @@
+package model
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"piernotch/internal/scenario"
+	"piernotch/internal/trace"
+)
+
+// traffic brings clients: drawn ones, or those of a recording. Nothing in it depends
+// on what balancers decide.
+type traffic struct {
+	arrivals, keys, hints, heavy *rand.Rand
+	levels                       []float64 // bursty: factor by segment
+	zipf                         []float64 // cumulative
+	most                         float64   // greatest rate, a second
+	replay                       *trace.Reader
+	record                       trace.Record
+	classOf                      map[string]int
+	offset                       time.Duration
+}
+
+// segment is the length over which bursty traffic keeps a level.
+func segment(d *scenario.Day) time.Duration { return max(d.Traffic.Period/4, 10*time.Millisecond) }
+
+func (t *traffic) begin(w *World) error {
+	d := w.day
+	t.arrivals, t.keys = scenario.Stream(d.Seed, "arrivals"), scenario.Stream(d.Seed, "keys")
+	t.hints, t.heavy = scenario.Stream(d.Seed, "hints"), scenario.Stream(d.Seed, "heavy")
+	if d.Traffic.Trace != "" {
+		r, err := trace.Open(d.Traffic.Trace)
+		if err != nil {
+			return err
+		}
+		t.replay = r
+		t.classOf = map[string]int{}
+		for i, c := range d.Classes {
+			t.classOf[c.Name] = i
+		}
+		for _, name := range r.Header().Classes {
+			if _, ok := t.classOf[name]; !ok {
+				return fmt.Errorf("%s: its class %q is none of the scenario's", d.Traffic.Trace, name)
+			}
+		}
+		return nil
+	}
+	shape := scenario.Stream(d.Seed, "shape")
+	for at := time.Duration(0); at <= d.Length; at += segment(d) {
+		t.levels = append(t.levels, 1+d.Traffic.Swing*(2*shape.Float64()-1))
+	}
+	sum := 0.0
+	for i := range d.Traffic.Keys {
+		sum += math.Pow(float64(i+1), -d.Traffic.KeyZipf)
+		t.zipf = append(t.zipf, sum)
+	}
+	t.most = d.Traffic.PerSec * (1 + d.Traffic.Swing)
+	for i := range d.Troubles {
+		if in := &d.Troubles[i]; in.Kind == "burst" {
+			t.most *= max(in.Size, 1)
+		}
+	}
+	return nil
+}
+
+// rate is how many requests come a second at a time.
+func (t *traffic) rate(w *World, at time.Duration) float64 {
+	d := w.day
+	r := d.Traffic.PerSec
+	switch d.Traffic.Shape {
+	case "waves":
+		r *= 1 + d.Traffic.Swing*math.Sin(2*math.Pi*(float64(at)/float64(d.Traffic.Period)+d.Traffic.Phase))
+	case "bursty":
+		r *= t.levels[min(int(at/segment(d)), len(t.levels)-1)]
+	}
+	for i := range d.Troubles {
+		in := &d.Troubles[i]
+		switch in.Kind {
+		case "burst":
+			r *= 1 + (in.Size-1)*ramp(at, in.At, in.End(), in.Ramp)
+		case "shrink": // traffic falls with the fleet, and stays low
+			r *= 1 - (1-1/in.Size)*ramp(at, in.At, never, in.For)
+		}
+	}
+	return r
+}
+
+// ramp rises from 0 to 1 after from, and falls back before to.
+func ramp(at, from, to, over time.Duration) float64 {
+	if at <= from || at >= to {
+		return 0
+	}
+	if over <= 0 {
+		return 1
+	}
+	up := float64(at-from) / float64(over)
+	down := float64(to-at) / float64(over)
+	return min(up, down, 1)
+}
+
+// next plans the next client.
+func (t *traffic) next(w *World) {
+	if t.replay != nil {
+		t.nextRecorded(w)
+		return
+	}
+	if !(t.most > 0) {
+		return
+	}
+	// Thinning: candidates come at the greatest rate, and each is taken with the
+	// share that the present rate is of it (Lewis and Shedler 1979).
+	for at := w.now; ; {
+		at += time.Duration(t.arrivals.ExpFloat64() / t.most * float64(time.Second))
+		if at >= w.day.Length {
+			return
+		}
+		if t.arrivals.Float64()*t.most < t.rate(w, at) {
+			w.cal.plan(at/time.Microsecond*time.Microsecond, atArrival, evAsk, 0, 0)
+			return
+		}
+	}
+}
+
+func (t *traffic) nextRecorded(w *World) {
+	err := t.replay.Next(&t.record)
+	if errors.Is(err, io.EOF) {
+		return
+	}
+	if err != nil {
+		w.err = err
+		return
+	}
+	if t.offset == 0 {
+		t.offset = t.record.At
+	}
+	if at := max(t.record.At-t.offset, w.now); at < w.day.Length {
+		w.cal.plan(at, atArrival, evAsk, 0, 0)
+	}
+}
+
+// arrive is a client that wants something.
+func (t *traffic) arrive(w *World) {
+	d := w.day
+	w.lastAsk++
+	a := w.asks.Put(w.lastAsk)
+	*a = ask{key: mix(d.Seed ^ w.lastAsk*0x9e3779b97f4a7c15), first: w.now, hint: math.NaN()}
+	if t.replay != nil {
+		t.recorded(w, a)
+	} else {
+		t.drawn(w, a)
+	}
+	c := &d.Classes[a.class]
+	a.until = w.now + c.Deadline
+	a.worth = c.Worth
+	if d.Score.ByWork {
+		a.worth *= a.work
+	}
+	a.impatient = t.heavy.Float64()
+	a.most = int(d.Clients.Retries)
+	if t.heavy.Float64() < d.Clients.Retries-float64(a.most) {
+		a.most++
+	}
+	w.meter.ask(w, a)
+	w.newTry(w.lastAsk)
+	t.next(w)
+}
+
+func (t *traffic) drawn(w *World, a *ask) {
+	d := w.day
+	u := t.arrivals.Float64()
+	for a.class = 0; a.class < len(d.Classes)-1 && u >= d.Classes[a.class].Share; a.class++ {
+		u -= d.Classes[a.class].Share
+	}
+	a.zone = sort.SearchFloat64s(d.Traffic.Zones, t.arrivals.Float64())
+	a.zone = min(a.zone, len(d.Zones)-1)
+	a.work = d.Classes[a.class].Work.Rand()
+	heavy := t.heavy.Float64()
+	for i := range d.Troubles {
+		in := &d.Troubles[i]
+		if in.Kind == "heavy_tail" && w.now >= in.At && w.now < in.End() && (in.Class < 0 || in.Class == a.class) && heavy < in.Part {
+			a.work *= in.Size
+		}
+	}
+	if n := len(t.zipf); n > 0 {
+		i := sort.SearchFloat64s(t.zipf, t.keys.Float64()*t.zipf[n-1])
+		a.path = mix(d.Seed^uint64(i+1)) | 1
+	}
+	a.hint = t.hint(d, a.work)
+}
+
+// hint is what a client says of its request's work, ms.
+func (t *traffic) hint(d *scenario.Day, work float64) float64 {
+	sigma := math.Sqrt(math.Log1p(d.Traffic.HintCV * d.Traffic.HintCV))
+	noise := math.Exp(sigma*t.hints.NormFloat64() - sigma*sigma/2)
+	switch d.Traffic.Hints {
+	case "exact":
+		return work
+	case "rough":
+		return work * noise
+	}
+	return math.NaN()
+}
+
+// recorded takes a request of a recording. A recording knows no work: the hint stands
+// for it, or else the class's mean with its spread.
+func (t *traffic) recorded(w *World, a *ask) {
+	r := &t.record
+	a.class = t.classOf[t.replay.Header().Classes[r.Class]]
+	a.zone = int(a.key>>8) % len(w.day.Zones)
+	if z := t.replay.Header().Zone; z != "" {
+		for i, name := range w.day.Zones {
+			if name == z {
+				a.zone = i
+			}
+		}
+	}
+	a.path = r.Key
+	a.work = w.day.Classes[a.class].Work.Rand()
+	if r.Hint > 0 {
+		a.work, a.hint = r.Hint, r.Hint
+	}
+}
