--- a/internal/scenario/day.go
+++ b/internal/scenario/day.go
@@ -595,3 +595,12 @@
 	}
 	return from[:min(n, len(from))]
 }
+
+// KindNames names the kinds of machine, by Server.KindIndex.
+func (d *Day) KindNames() []string {
+	names := make([]string, len(d.kinds))
+	for i := range d.kinds {
+		names[i] = d.kinds[i].kind.Name
+	}
+	return names
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -9,26 +9,30 @@
 	"piernotch"
 )
 
+type classJSON struct {
+	Name          string  `json:"name"`
+	GoalTimeMS    float64 `json:"goal_time_ms"`
+	DeadlineMS    float64 `json:"deadline_ms"`
+	Points        float64 `json:"points"`
+	LateWorth     float64 `json:"late_worth"`
+	Effect        string  `json:"effect"`
+	DedupScope    string  `json:"dedup_scope"`
+	DedupWindowMS float64 `json:"dedup_window_ms"`
+}
+
+type tenantJSON struct {
+	Name      string  `json:"name"`
+	QuotaPerS float64 `json:"quota_per_s"`
+}
+
 type settingsJSON struct {
-	Classes []struct {
-		Name          string  `json:"name"`
-		GoalTimeMS    float64 `json:"goal_time_ms"`
-		DeadlineMS    float64 `json:"deadline_ms"`
-		Points        float64 `json:"points"`
-		LateWorth     float64 `json:"late_worth"`
-		Effect        string  `json:"effect"`
-		DedupScope    string  `json:"dedup_scope"`
-		DedupWindowMS float64 `json:"dedup_window_ms"`
-	} `json:"classes"`
-	Tenants []struct {
-		Name      string  `json:"name"`
-		QuotaPerS float64 `json:"quota_per_s"`
-	} `json:"tenants"`
-	Discovery string   `json:"discovery"`
-	GroupSize int      `json:"group_size"`
-	MyZone    int      `json:"my_zone"`
-	Zones     []string `json:"zones"`
-	QuantumMS float64  `json:"quantum_ms"`
+	Classes   []classJSON  `json:"classes"`
+	Tenants   []tenantJSON `json:"tenants"`
+	Discovery string       `json:"discovery"`
+	GroupSize int          `json:"group_size"`
+	MyZone    int          `json:"my_zone"`
+	Zones     []string     `json:"zones"`
+	QuantumMS float64      `json:"quantum_ms"`
 	Limits    struct {
 		MostTries       int     `json:"most_tries"`
 		SecondCopies    bool    `json:"second_copies"`
