--- a/balancer.go
+++ b/balancer.go
@@ -27,6 +27,7 @@
 	spurned       = 0.3      // a class that fails so often where others do not keeps away
 	deviations    = 4.0      // silence counts from this many mean deviations on, as in TCP
 	sweepsPerAim  = 16.0     // sweeps within the shortest aim
+	passSize      = 256      // backends that a sweep looks at without a thought
 )
 
 const sweepToken = 1
@@ -38,6 +39,7 @@
 	rng      *rand.Rand
 	started  bool
 	sweep    time.Duration // time between sweeps
+	sweeps   int
 	shortAim time.Duration
 
 	backends map[BackendID]*backend
@@ -420,8 +422,7 @@
 	return now >= to.coldNext && to.inflight == 0
 }
 
-// triable tells whether an ejected backend may have its trial: its pause is over,
-// and where probes are allowed it has answered one.
+// triable tells whether an ejected backend may have its trial: paused and, if allowed, probed.
 func (b *Balancer) triable(now time.Duration, to *backend) bool {
 	return now >= to.retryAt && (to.probed || !b.set.Limits.Probes)
 }
@@ -628,8 +629,7 @@
 	}
 }
 
-// balanceLanes moves the split point towards equal lateness in both lanes: rough
-// hints make heavy requests of light ones and the reverse.
+// balanceLanes moves the split point towards equal lateness in both lanes: hints are rough.
 func (b *Balancer) balanceLanes(pace float64, lane int, late float64) {
 	b.laneLate[lane] += smoothing * (late - b.laneLate[lane])
 	b.tilt += pace * (b.laneLate[1] - b.laneLate[0])
@@ -704,9 +704,8 @@
 
 // finish gives the final answer: refused where that is true, else failed.
 func (b *Balancer) finish(r *request) {
-	first := r.firstRun()
 	switch {
-	case first == nil, r.class.Effect == Safe, r.class.Effect == Keyed && r.class.Scope == ScopeAll:
+	case r.firstRun() == nil, r.class.Effect == Safe, r.class.Effect == Keyed && r.class.Scope == ScopeAll:
 		b.host.Refuse(r.ID, b.advice())
 	default:
 		b.host.Fail(r.ID)
@@ -819,32 +818,11 @@
 	}
 }
 
-// reweigh follows what changes slowly: latencies, warmth, bands, and ejected
-// backends whose time for a trial has come.
+// reweigh follows what changes slowly: the bands and, in survey, the backends.
 func (b *Balancer) reweigh(now time.Duration) {
-	for _, to := range b.sorted {
-		if to.coldSince >= 0 && (now >= to.coldSince+b.set.Rules.Cold || (to.doubt > 0 && now >= to.doubt)) {
-			to.coldSince, to.doubt = -1, 0
-		}
-		if to.ejected == 0 || now < to.retryAt || to.State != Ready {
-			continue
-		}
-		b.dirty = b.dirty || !to.trial
-		if b.set.Limits.Probes && !to.probed && !to.probing {
-			to.probing = true
-			b.host.Probe(to.ID)
-		}
-	}
-	if b.dirty {
-		b.regroup(now)
-	} else {
-		b.groups[0].weigh(b, now)
-		b.groups[1].weigh(b, now)
-	}
-	for i := range b.groups {
-		if g := &b.groups[i]; now-g.heard > b.shortAim*sweepsPerAim { // nobody is looking
-			g.late -= g.late / (sweepsPerAim * sweepsPerAim)
-		}
+	// A pass over a large fleet takes its time: it is made every few sweeps there.
+	if b.sweeps++; b.sweeps%(1+len(b.sorted)/passSize) == 0 {
+		b.survey(now)
 	}
 	// A proxy that refuses everything sees nothing get better: shedding wanes.
 	b.shed -= b.shed / (sweepsPerAim * sweepsPerAim)
@@ -865,6 +843,28 @@
 	}
 }
 
+// survey finds who has warmed up and whose time for a trial has come, and weighs all.
+func (b *Balancer) survey(now time.Duration) {
+	for _, to := range b.sorted {
+		if to.coldSince >= 0 && (now >= to.coldSince+b.set.Rules.Cold || (to.doubt > 0 && now >= to.doubt)) {
+			to.coldSince, to.doubt = -1, 0
+		}
+		if to.ejected == 0 || now < to.retryAt || to.State != Ready {
+			continue
+		}
+		if b.set.Limits.Probes && !to.probed && !to.probing {
+			to.probing = true
+			b.host.Probe(to.ID)
+		}
+	}
+	b.regroup(now)
+	for i := range b.groups {
+		if g := &b.groups[i]; now-g.heard > b.shortAim*sweepsPerAim { // nobody is looking
+			g.late -= g.late / (sweepsPerAim * sweepsPerAim)
+		}
+	}
+}
+
 // regroup sorts the ready backends into own zone and elsewhere.
 func (b *Balancer) regroup(now time.Duration) {
 	b.dirty = false
--- a/cmd/piernotch/main.go
+++ b/cmd/piernotch/main.go
@@ -12,27 +12,91 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
 	"piernotch/internal/config"
+	"piernotch/internal/logs"
 	"piernotch/internal/node"
 )
 
+type cli struct {
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve (what happens without a command)."`
+	Check   checkCmd   `cmd:"" help:"Check a configuration: all that is wrong is told, and nothing started."`
+	Version versionCmd `cmd:"" help:"Say what was built."`
+}
+
+const about = `A balancer for HTTP/1.1 feed servers. Without a command it serves, from the TOML file that
+--config names, or else from the platform's JSON file that ROUTER_CONFIG names.`
+
 func main() {
-	if err := run(); err != nil {
+	var c cli
+	k := kong.Parse(&c, kong.Name("piernotch"), kong.Description(about), kong.UsageOnError())
+	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "piernotch:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+// source is where the configuration comes from.
+type source struct {
+	Config string `short:"c" placeholder:"FILE" env:"PIERNOTCH_CONFIG" help:"Configuration in TOML; goes before ROUTER_CONFIG."`
+}
+
+func (s source) load(again bool) (config.Config, error) {
+	switch {
+	case s.Config != "":
+		return config.LoadFile(s.Config)
+	case again:
+		return config.Reload(os.Getenv)
+	}
+	return config.Load(os.Getenv)
+}
+
+type checkCmd struct{ source }
+
+func (c *checkCmd) Run() error {
+	cfg, err := c.load(false)
+	if err == nil {
+		fmt.Printf("good: %s listens on %s, asks %s, %d classes, %d servers known\n",
+			cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Settings.Classes), len(cfg.Known.Members))
+	}
+	return err
+}
+
+type versionCmd struct{}
+
+func (*versionCmd) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return fmt.Errorf("this build says nothing of itself")
+	}
+	revision, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = ", changed since"
+		}
+	}
+	fmt.Printf("piernotch %s%s, %s %s/%s\n", revision, changed, info.GoVersion, runtime.GOOS, runtime.GOARCH)
+	return nil
+}
+
+type serveCmd struct{ source }
+
+func (c *serveCmd) Run() error {
 	// Before anything else: left alone, a SIGHUP or SIGTERM ends the program.
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
-	slog.SetDefault(slog.New(&limiter{Handler: slog.NewTextHandler(os.Stderr, nil)}))
 	signal.Ignore(syscall.SIGPIPE) // whoever reads the log may go; the service stays
-	cfg, err := config.Load(os.Getenv)
+	cfg, err := c.load(false)
 	if err != nil {
 		return err
 	}
+	if err := logs.Start(cfg.Log); err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(1) // the machine has one core, and others may share it
 	// Stacks, the runtime and what the kernel books to the process come on top.
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 6 / 10)
@@ -47,7 +111,7 @@
 		for s := range signals {
 			if s != syscall.SIGHUP {
 				n.Terminate()
-			} else if cfg, err := config.Reload(os.Getenv); err != nil {
+			} else if cfg, err := c.load(true); err != nil {
 				slog.Error("configuration not taken, the old one stands", "err", err)
 			} else {
 				n.Reload(cfg)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 
 	"piernotch"
 	"piernotch/internal/discovery"
+	"piernotch/internal/logs"
 	"piernotch/internal/wire"
 )
 
@@ -24,6 +25,14 @@
 	HasKnown                bool
 	Settings                piernotch.Settings
 	KeepAlive, DialTimeout  time.Duration
+	Log                     logs.Options
+	Trace                   Trace
+}
+
+// Trace is where traffic is recorded; without a file it is not.
+type Trace struct {
+	File     string
+	MaxBytes int64
 }
 
 type fileJSON struct {
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -24,7 +24,7 @@
 
 func ink(i int) color.RGBA { return inks[i%len(inks)] }
 
-func light(c color.RGBA) color.RGBA { return color.RGBA{c.R, c.G, c.B, 60} }
+func light(c color.RGBA) color.NRGBA { return color.NRGBA{c.R, c.G, c.B, 60} }
 
 // Chart is one drawing.
 type Chart struct {
@@ -37,7 +37,7 @@
 func chart(name, title, x, y string) *Chart {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	return &Chart{Name: name, Plot: p, Width: 18 * vg.Centimeter, Height: 9 * vg.Centimeter}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	summary  time.Duration
 	shed     time.Duration // when it was last logged that descriptors are short
 	exit     context.CancelFunc
+	recorder *recorder     // nil: nothing is recorded
 	leaving  time.Duration // when the core had nothing left to do; 0: it has
 }
 
@@ -54,6 +55,9 @@
 	if n.engine, err = sock.New(cfg.Sockets); err != nil {
 		return nil, err
 	}
+	if n.recorder, err = newRecorder(&cfg, n.now()); err != nil {
+		return nil, err
+	}
 	n.upstream = upstream.New(n.engine, n.emit, n.now, cfg.KeepAlive, cfg.DialTimeout)
 	n.front = front.New(cfg.Settings, n.emit, n.now, func() bool { return n.core.Listed() && !n.core.Ending() }, cfg.Sockets)
 	n.watcher = discovery.New(n.engine, n.emit, n.now, cfg.Discovery, cfg.Settings.Zones, cfg.Known.Generation)
@@ -100,6 +104,9 @@
 	n.engine.Run(ctx, core.Tick, n.tick)
 	n.engine.StopListening()
 	n.log("ended")
+	if n.recorder != nil {
+		n.recorder.close()
+	}
 }
 
 // Terminate begins an orderly end. It may be called from any goroutine.
@@ -173,7 +180,11 @@
 		next := n.queue[n.head]
 		n.queue[n.head] = nil // the array is used again and must keep no request alive
 		n.head++
-		for _, e := range n.core.Handle(n.now(), next) {
+		now := n.now()
+		if n.recorder != nil {
+			n.recorder.hear(now, next)
+		}
+		for _, e := range n.core.Handle(now, next) {
 			n.perform(e)
 		}
 	}
@@ -189,6 +200,9 @@
 	case core.Drop:
 		n.upstream.Drop(e.Ref)
 	case core.Reply:
+		if n.recorder != nil {
+			n.recorder.answer(n.now(), e)
+		}
 		n.front.Reply(e)
 	case core.Probe:
 		n.upstream.Probe(e)
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"bytes"
 	"embed"
 	"errors"
 	"fmt"
@@ -14,45 +13,18 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
+
+	"piernotch/internal/tomlfile"
 )
 
 //go:embed shipped/*.toml
 var shipped embed.FS
 
 // Problem is one thing that is wrong with a scenario.
-type Problem struct {
-	File string
-	Line int    // from 1; 0: not in a file
-	Key  string // dotted, elements of arrays by place
-	What string // what was expected
-}
-
-// String is file:line: key: what.
-func (p Problem) String() string {
-	at := p.File
-	if p.Line > 0 {
-		at += ":" + strconv.Itoa(p.Line)
-	}
-	if at != "" {
-		at += ": "
-	}
-	if p.Key != "" {
-		at += p.Key + ": "
-	}
-	return at + p.What
-}
+type Problem = tomlfile.Problem
 
 // Problems is all that is wrong, in the order of the files.
-type Problems []Problem
-
-func (p Problems) Error() string {
-	lines := make([]string, len(p))
-	for i := range p {
-		lines[i] = p[i].String()
-	}
-	return strings.Join(lines, "\n")
-}
+type Problems = tomlfile.Problems
 
 type place struct {
 	file string
@@ -78,14 +50,7 @@
 	s := defaults()
 	l := loader{s: s}
 	l.file(name, "", 0)
-	if len(l.problems) > 0 {
-		return nil, l.problems
-	}
-	s.fill()
-	if p := s.Check(); len(p) > 0 {
-		return nil, p
-	}
-	return s, nil
+	return l.finish()
 }
 
 // Parse reads a scenario from memory. Includes are of shipped scenarios.
@@ -93,14 +58,7 @@
 	s := defaults()
 	l := loader{s: s}
 	l.parse(file, data, "", 0)
-	if len(l.problems) > 0 {
-		return nil, l.problems
-	}
-	s.fill()
-	if p := s.Check(); len(p) > 0 {
-		return nil, p
-	}
-	return s, nil
+	return l.finish()
 }
 
 type loader struct {
@@ -108,6 +66,18 @@
 	problems Problems
 }
 
+// finish checks what was read, unless it could not be read at all.
+func (l *loader) finish() (*Scenario, error) {
+	if l.s.origin != nil {
+		l.s.fill()
+		l.problems = append(l.problems, l.s.Check()...)
+	}
+	if len(l.problems) > 0 {
+		return nil, l.problems
+	}
+	return l.s, nil
+}
+
 // file reads one file, looked for beside its includer and then among the shipped.
 func (l *loader) file(name, dir string, depth int) {
 	path := name
@@ -144,118 +114,15 @@
 		l.file(head.Include, dir, depth+1)
 	}
 	// A file that lists kinds, classes or troubles replaces those of its base.
-	l.decode(file, data)
+	l.problems = append(l.problems, tomlfile.Decode(file, data, l.s)...)
 	if l.s.origin == nil {
 		l.s.origin = map[string]place{}
 	}
-	for key, line := range lines(data) {
+	for key, line := range tomlfile.Lines(data) {
 		l.s.origin[key] = place{file, line}
 	}
 }
 
-// decode reads a file on top of what is there. A value that cannot be read is noted
-// and blanked out, so that the rest of the file is looked at, too.
-func (l *loader) decode(file string, data []byte) {
-	data = bytes.Clone(data)
-	for range 100 {
-		dec := toml.NewDecoder(bytes.NewReader(data))
-		dec.DisallowUnknownFields().EnableUnmarshalerInterface()
-		err := dec.Decode(l.s)
-		var strict *toml.StrictMissingError
-		var wrong *toml.DecodeError
-		switch {
-		case err == nil:
-			return
-		case errors.As(err, &strict):
-			for i := range strict.Errors {
-				e := &strict.Errors[i]
-				row, _ := e.Position()
-				l.problems = append(l.problems, Problem{file, row, strings.Join(e.Key(), "."), "no such key"})
-			}
-			return
-		case errors.As(err, &wrong):
-			row, _ := wrong.Position()
-			l.problems = append(l.problems, Problem{file, row, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")})
-			if !blank(data, row) {
-				return
-			}
-		default:
-			l.problems = append(l.problems, Problem{File: file, What: err.Error()})
-			return
-		}
-	}
-}
-
-// blank overwrites the value of the expression that covers a line, and tells whether
-// there was one.
-func blank(data []byte, row int) bool {
-	var p unstable.Parser
-	p.Reset(data)
-	for p.NextExpression() {
-		e := p.Expression()
-		if e.Kind != unstable.KeyValue {
-			continue
-		}
-		keys := e.Key()
-		if !keys.Next() {
-			continue
-		}
-		first := p.Shape(keys.Node().Raw).Start
-		last := first.Line
-		if v := e.Value(); v != nil && v.Raw.Length > 0 {
-			last = p.Shape(v.Raw).End.Line
-		}
-		if row < first.Line || row > last {
-			continue
-		}
-		rows := bytes.SplitAfter(data, []byte("\n"))
-		for i := first.Line - 1; i < last && i < len(rows); i++ {
-			for j := range rows[i] {
-				if rows[i][j] != '\n' {
-					rows[i][j] = ' '
-				}
-			}
-		}
-		return true
-	}
-	return false
-}
-
-// lines finds the line of each key of a document. Tables of arrays are counted.
-func lines(data []byte) map[string]int {
-	found := map[string]int{}
-	count := map[string]int{}
-	prefix := ""
-	var p unstable.Parser
-	p.Reset(data)
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for keys := e.Key(); keys.Next(); {
-			n := keys.Node()
-			if line == 0 {
-				line = p.Shape(n.Raw).Start.Line
-			}
-			parts = append(parts, string(n.Data))
-		}
-		key := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			prefix = key + "."
-			found[key] = line
-		case unstable.ArrayTable:
-			key = fmt.Sprintf("%s[%d]", key, count[key])
-			count[strings.Join(parts, ".")]++
-			prefix = key + "."
-			found[key] = line
-		case unstable.KeyValue:
-			found[prefix+key] = line
-		}
-	}
-	return found
-}
-
 // With returns a copy with values replaced and checked. An override is KEY=VALUE,
 // such as traffic.load=0.8, kind.fast.speed=[1.2,1.4], trouble[0].size=3 or
 // kind.*.choke_at=0; elements of arrays go by their place, or by their name or kind.
@@ -281,10 +148,8 @@
 		}
 		delete(c.origin, key)
 	}
-	if len(problems) == 0 {
-		c.fill()
-		problems = c.Check()
-	}
+	c.fill()
+	problems = append(problems, c.Check()...)
 	if len(problems) > 0 {
 		return nil, problems
 	}
