--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -430,7 +430,7 @@
 func (a *Auditor) steps(id uint64) []string {
 	r := a.requests.Get(id)
 	if r == nil {
-		return nil
+		return []string{"no more is known of it: it was never taken, or it had its final answer and nothing was out"}
 	}
 	name := fmt.Sprintf("class %d", r.class)
 	if k := a.class(r); k != nil {
--- /dev/null
+++ b/internal/fleet/server_test.go
@@ -0,0 +1,318 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const ms = time.Millisecond
+
+// bench is one server with its work done in simulated time.
+type bench struct {
+	t   *testing.T
+	s   *Server
+	end map[uint64]time.Duration
+	how map[uint64]Ending
+	n   uint64
+}
+
+func put(t *testing.T, kind Kind) *bench {
+	t.Helper()
+	kind.Name, kind.Cores, kind.Slots = "k", max(kind.Cores, 1), max(kind.Slots, 1)
+	if kind.Speed == 0 {
+		kind.Speed = 1
+	}
+	s, err := New(kind, 1, 0)
+	require.NoError(t, err)
+	return &bench{t: t, s: s, end: map[uint64]time.Duration{}, how: map[uint64]Ending{}}
+}
+
+func (b *bench) until(at time.Duration) {
+	for i := 0; b.s.Next() <= at; i++ {
+		require.Less(b.t, i, 100000, "the server never rests")
+		now := b.s.Next()
+		for _, d := range b.s.Advance(now) {
+			b.end[d.ID], b.how[d.ID] = now, d.Ending
+		}
+	}
+	for _, d := range b.s.Advance(at) {
+		b.end[d.ID], b.how[d.ID] = at, d.Ending
+	}
+}
+
+func (b *bench) job(at time.Duration, j Job) Entry {
+	b.until(at)
+	if j.Luck == 0 {
+		j.Luck = 1
+	}
+	b.n++
+	j.ID = b.n
+	entry, lost := b.s.Arrive(at, j)
+	for _, d := range lost {
+		b.end[d.ID], b.how[d.ID] = at, d.Ending
+	}
+	return entry
+}
+
+func TestWorkTakesItsTimeBySpeedAndSlots(t *testing.T) {
+	b := put(t, Kind{Speed: 2, Queue: 2})
+	require.Equal(t, Accepted, b.job(0, Job{Work: 100}))
+	require.Equal(t, Accepted, b.job(0, Job{Work: 100}))
+	require.Equal(t, Accepted, b.job(0, Job{Work: 100}))
+	require.Equal(t, TurnedAway, b.job(0, Job{Work: 100}), "the waiting room is full")
+	b.until(time.Second)
+	require.Equal(t, map[uint64]time.Duration{1: 50 * ms, 2: 100 * ms, 3: 150 * ms}, b.end)
+	require.InDelta(t, 300, b.s.Spent(), 1e-6)
+
+	b = put(t, Kind{Cores: 1, Slots: 2}) // two share a core
+	b.job(0, Job{Work: 100})
+	b.job(0, Job{Work: 100})
+	b.until(time.Second)
+	require.Equal(t, 200*ms, b.end[2])
+}
+
+func TestAColdServerWarmsUpByTimeOrByWork(t *testing.T) {
+	for _, c := range []struct {
+		by       Warming
+		busy     time.Duration
+		at, want float64
+	}{
+		{WarmByTime, 0, 5, 0.2 + 0.8*0.5}, {WarmByTime, 0, 10, 1}, {WarmByWork, 0, 5, 0.2 + 0.8*0.5}, {WarmByWork, 10, 5, 0.9},
+	} {
+		b := put(t, Kind{ColdFrom: 0.2, Cold: 10 * time.Second, WarmBy: c.by, Queue: 100})
+		b.s.Start(0)
+		if c.busy > 0 {
+			for range 100 {
+				b.job(0, Job{Work: 1000})
+			}
+		}
+		at := time.Duration(c.at * 1e9)
+		b.until(at)
+		if c.busy > 0 {
+			require.Greater(t, b.s.Warmth(at), c.want*0.65, "work warms it sooner than time")
+			continue
+		}
+		require.InDelta(t, c.want, b.s.Warmth(at), 1e-9)
+	}
+}
+
+func TestTooManyWaitingChokeAServerUntilItIsMostlyIdle(t *testing.T) {
+	choke := Choke{At: 4, Over: 2 * time.Second, Slower: 3, Below: 0.3, Rest: 3 * time.Second, Most: 30 * time.Second}
+	b := put(t, Kind{Queue: 100, Choke: choke})
+	for range 12 {
+		b.job(0, Job{Work: 400})
+	}
+	b.until(1900 * ms)
+	require.False(t, b.s.Choked())
+	b.until(2100 * ms)
+	require.True(t, b.s.Choked(), "5 wait for 2 s")
+	left := b.s.Holds()
+	b.until(8 * time.Second)
+	require.Equal(t, left-5, b.s.Holds(), "three times slower: 1.2 s each")
+	b.until(40 * time.Second)
+	require.Zero(t, b.s.Holds())
+	require.False(t, b.s.Choked())
+
+	b = put(t, Kind{Queue: 1000, Choke: choke}) // never idle: it ends all the same
+	for range 200 {
+		b.job(0, Job{Work: 400})
+	}
+	b.until(31 * time.Second)
+	require.True(t, b.s.Choked())
+	b.until(33 * time.Second)
+	require.False(t, b.s.Choked())
+}
+
+func TestAShortCrowdDoesNotChoke(t *testing.T) {
+	b := put(t, Kind{Queue: 100, Choke: Choke{At: 4, Over: 2 * time.Second, Slower: 3, Below: 0.3, Rest: time.Second}})
+	for i := range 20 { // six wait for 1 s, then two
+		if i%2 == 0 {
+			for range 7 {
+				b.job(time.Duration(i)*2*time.Second, Job{Work: 200})
+			}
+		}
+	}
+	b.until(45 * time.Second)
+	require.False(t, b.s.Choked())
+}
+
+func TestPausesStandStillAndDoNotDependOnLoad(t *testing.T) {
+	kind := Kind{PauseEvery: time.Second, PauseFor: 100 * ms, Queue: 1000}
+	idle, busy := put(t, kind), put(t, kind)
+	for range 200 {
+		busy.job(0, Job{Work: 100})
+	}
+	var starts [2][]time.Duration
+	for at := time.Duration(0); at < 10*time.Second; at += 5 * ms {
+		for i, b := range []*bench{idle, busy} {
+			b.until(at)
+			if n := len(starts[i]); at < b.s.pauseEnd && (n == 0 || starts[i][n-1] != b.s.pauseEnd) {
+				starts[i] = append(starts[i], b.s.pauseEnd)
+			}
+		}
+	}
+	require.Greater(t, len(starts[0]), 5)
+	require.Equal(t, starts[0], starts[1])
+	busy.until(11 * time.Second)
+	require.InDelta(t, 10000, busy.s.Spent(), 1000, "a tenth of the time is lost")
+	require.Less(t, busy.s.Spent(), 10700.0)
+}
+
+func TestAKeyMetLatelyCostsLess(t *testing.T) {
+	b := put(t, Kind{Queue: 10, Keys: Keys{Gain: 0.5, For: 2 * time.Second, Most: 2}})
+	took := func(at time.Duration, key uint64) time.Duration {
+		b.job(at, Job{Work: 100, Key: key})
+		b.until(at + 500*ms)
+		return b.end[b.n] - at
+	}
+	require.Equal(t, 100*ms, took(0, 1))
+	require.Equal(t, 50*ms, took(time.Second, 1))
+	require.Equal(t, 100*ms, took(4*time.Second, 1), "met too long ago")
+	took(5*time.Second, 2)
+	took(5500*ms, 3)
+	require.Equal(t, 100*ms, took(6*time.Second, 1), "two keys are remembered")
+	require.Equal(t, 100*ms, took(7*time.Second, 0), "no key")
+}
+
+func TestACrowdedServerThrashesAndConnectionsTax(t *testing.T) {
+	b := put(t, Kind{Queue: 100, Thrash: 0.5, ThrashAt: 5})
+	for range 10 { // twice the limit: half the speed
+		b.job(0, Job{Work: 100})
+	}
+	b.until(190 * ms)
+	require.Empty(t, b.end)
+	b.until(201 * ms)
+	require.Len(t, b.end, 1)
+
+	b = put(t, Kind{Conn: Conn{Handshake: 30, Most: 10, Tax: 0.2}})
+	b.s.SetTable(0, 5)
+	b.s.Charge(0, 30)
+	b.job(0, Job{Work: 60})
+	b.until(time.Second)
+	require.Equal(t, 100*ms, b.end[1], "90 ms of work at nine tenths of the speed")
+}
+
+func TestReportsAreLateAndOfAWhileAgo(t *testing.T) {
+	b := put(t, Kind{Queue: 100, Report: Report{Every: time.Second, Delay: 200 * ms}})
+	_, ok := b.s.Report(0, 0)
+	require.False(t, ok)
+	for i := range 40 { // 10 a second are answered, then nothing
+		b.job(time.Duration(i)*100*ms, Job{Work: 50})
+	}
+	b.until(6 * time.Second)
+	now, _ := b.s.Report(6*time.Second, 0)
+	old, ok := b.s.Report(6*time.Second, 3*time.Second)
+	require.True(t, ok)
+	require.Zero(t, now.PerSec)
+	require.InDelta(t, 10, old.PerSec, 1.01)
+}
+
+func TestAColdServerIsPushedOverAndStaysDown(t *testing.T) {
+	kind := Kind{Queue: 1000, ColdFrom: 0.2, Cold: 20 * time.Second, Fall: Fall{Multiple: 2.5, For: 2 * time.Second}}
+	b := put(t, kind)
+	b.s.Start(0)
+	// 1,000 ms of work in 2 s is the budget at a fifth of one core, 1,100 with slack.
+	for i := range 10 {
+		b.job(time.Duration(i)*100*ms, Job{Work: 100})
+	}
+	require.Equal(t, Up, b.s.Life())
+	for i := range 6 {
+		b.job(time.Second+time.Duration(i)*50*ms, Job{Work: 100})
+	}
+	require.Equal(t, Fallen, b.s.Life())
+	require.Equal(t, Refused, b.job(2*time.Second, Job{Work: 1}))
+	require.Equal(t, Reset, b.how[10])
+
+	b = put(t, kind)
+	b.s.Start(0)
+	require.Equal(t, Accepted, b.job(0, Job{Work: 5000}), "one request alone is no flood")
+	b = put(t, kind) // a warm one takes anything
+	for range 100 {
+		require.Equal(t, Accepted, b.job(0, Job{Work: 1000}))
+	}
+}
+
+func TestCancelStopsWaitingWorkAndRunningWorkWhereItMay(t *testing.T) {
+	for _, stops := range []bool{false, true} {
+		b := put(t, Kind{Queue: 10, StopRunning: stops})
+		b.job(0, Job{Work: 100})
+		b.job(0, Job{Work: 100})
+		b.until(50 * ms)
+		gone, begun, _ := b.s.Cancel(50*ms, 2)
+		require.True(t, gone && !begun)
+		gone, begun, spent := b.s.Cancel(50*ms, 1)
+		require.True(t, begun)
+		require.Equal(t, stops, gone)
+		if stops {
+			require.InDelta(t, 50, spent, 1e-6)
+		}
+		b.until(time.Second)
+		require.Equal(t, !stops, b.end[1] == 100*ms)
+		require.Zero(t, b.s.Holds())
+	}
+}
+
+func TestLifeAndDeath(t *testing.T) {
+	b := put(t, Kind{Queue: 10, DropExpired: true, ErrorRate: 0.5})
+	b.job(0, Job{Work: 100, Luck: 0.2})
+	b.job(0, Job{Work: 100, Expires: 80 * ms})
+	b.until(time.Second)
+	require.Equal(t, map[uint64]Ending{1: Erred, 2: Expired}, b.how)
+
+	b.job(time.Second, Job{Work: 1000})
+	b.s.Drain(1100 * ms)
+	require.Equal(t, TurnedAway, b.job(1200*ms, Job{Work: 1}))
+	b.until(2500 * ms)
+	require.Equal(t, Answered, b.how[3], "what it held is finished")
+	require.Empty(t, b.s.Crash(3*time.Second))
+	require.Equal(t, Refused, b.job(3*time.Second, Job{Work: 1}))
+
+	b.s.Start(4 * time.Second)
+	require.Equal(t, 4*time.Second, b.s.Started())
+	b.job(4*time.Second, Job{Work: 1000})
+	require.Len(t, b.s.Crash(4500*ms), 1)
+	b.s.Start(5 * time.Second)
+	b.job(5*time.Second, Job{Work: 1000})
+	require.Len(t, b.s.Vanish(5500*ms), 1)
+	require.Equal(t, Unheard, b.job(6*time.Second, Job{Work: 1}))
+	require.Equal(t, Never, b.s.Next())
+}
+
+func TestASlowSpellSlows(t *testing.T) {
+	b := put(t, Kind{})
+	b.s.SetSlow(0, 4)
+	b.job(0, Job{Work: 100})
+	b.until(200 * ms)
+	b.s.SetSlow(200*ms, 1)
+	b.until(time.Second)
+	require.Equal(t, 250*ms, b.end[1])
+}
+
+func TestAStallDuringWarmUp(t *testing.T) {
+	b := put(t, Kind{Queue: 100, ColdFrom: 0.2, Cold: 10 * time.Second, WarmBy: WarmByWork})
+	b.s.Start(0)
+	b.s.SetPauses(0, 500*ms, 300*ms)
+	for i := range 50 {
+		b.job(time.Duration(i)*100*ms, Job{Work: 10})
+	}
+	b.until(20 * time.Second)
+	require.Zero(t, b.s.Holds())
+	require.Equal(t, 1.0, b.s.Warmth(20*time.Second))
+}
+
+func TestKindsThatCannotBeAreRefused(t *testing.T) {
+	good := Kind{Name: "k", Cores: 1, Slots: 1, Speed: 1}
+	require.NoError(t, good.Validate())
+	for name, spoil := range map[string]func(*Kind){
+		"cores": func(k *Kind) { k.Cores = 0 }, "speed": func(k *Kind) { k.Speed = 0 }, "slots": func(k *Kind) { k.Slots = 0 },
+		"cold_from": func(k *Kind) { k.Cold = time.Second }, "slower": func(k *Kind) { k.Choke.At = 1 },
+		"pauses": func(k *Kind) { k.PauseFor, k.PauseEvery = time.Second, ms }, "thrash": func(k *Kind) { k.Thrash = 2 },
+		"queue": func(k *Kind) { k.Queue = -1 },
+	} {
+		k := good
+		spoil(&k)
+		require.ErrorContains(t, k.Validate(), name)
+	}
+}
--- a/internal/model/traffic.go
+++ b/internal/model/traffic.go
@@ -1,11 +1,13 @@
 package model
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -20,10 +22,10 @@
 	levels                       []float64 // bursty: factor by segment
 	zipf                         []float64 // cumulative
 	most                         float64   // greatest rate, a second
-	replay                       *trace.Reader
-	record                       trace.Record
+	replay                       bool
+	head                         trace.Header
+	records                      []trace.Record // of a recording, by arrival; those to come
 	classOf                      map[string]int
-	offset                       time.Duration
 }
 
 // segment is the length over which bursty traffic keeps a level.
@@ -34,21 +36,7 @@
 	t.arrivals, t.keys = scenario.Stream(d.Seed, "arrivals"), scenario.Stream(d.Seed, "keys")
 	t.hints, t.heavy = scenario.Stream(d.Seed, "hints"), scenario.Stream(d.Seed, "heavy")
 	if d.Traffic.Trace != "" {
-		r, err := trace.Open(d.Traffic.Trace)
-		if err != nil {
-			return err
-		}
-		t.replay = r
-		t.classOf = map[string]int{}
-		for i, c := range d.Classes {
-			t.classOf[c.Name] = i
-		}
-		for _, name := range r.Header().Classes {
-			if _, ok := t.classOf[name]; !ok {
-				return fmt.Errorf("%s: its class %q is none of the scenario's", d.Traffic.Trace, name)
-			}
-		}
-		return nil
+		return t.load(d)
 	}
 	shape := scenario.Stream(d.Seed, "shape")
 	for at := time.Duration(0); at <= d.Length; at += segment(d) {
@@ -68,6 +56,35 @@
 	return nil
 }
 
+// load reads a recording. Its records stand in the order in which they ended.
+func (t *traffic) load(d *scenario.Day) error {
+	r, err := trace.Open(d.Traffic.Trace)
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	t.replay, t.head, t.classOf = true, *r.Header(), map[string]int{}
+	for i, c := range d.Classes {
+		t.classOf[c.Name] = i
+	}
+	for _, name := range t.head.Classes {
+		if _, ok := t.classOf[name]; !ok {
+			return fmt.Errorf("%s: its class %q is none of the scenario's", d.Traffic.Trace, name)
+		}
+	}
+	for {
+		var rec trace.Record
+		switch err := r.Next(&rec); {
+		case errors.Is(err, io.EOF):
+			slices.SortStableFunc(t.records, func(a, b trace.Record) int { return cmp.Compare(a.At, b.At) })
+			return nil
+		case err != nil:
+			return err
+		}
+		t.records = append(t.records, rec)
+	}
+}
+
 // rate is how many requests come a second at a time.
 func (t *traffic) rate(w *World, at time.Duration) float64 {
 	d := w.day
@@ -105,8 +122,12 @@
 
 // next plans the next client.
 func (t *traffic) next(w *World) {
-	if t.replay != nil {
-		t.nextRecorded(w)
+	if t.replay {
+		if len(t.records) > 0 {
+			if at := t.records[0].At / time.Microsecond * time.Microsecond; at < w.day.Length {
+				w.cal.plan(max(at, w.now), atArrival, evAsk, 0, 0)
+			}
+		}
 		return
 	}
 	if !(t.most > 0) {
@@ -126,30 +147,13 @@
 	}
 }
 
-func (t *traffic) nextRecorded(w *World) {
-	err := t.replay.Next(&t.record)
-	if errors.Is(err, io.EOF) {
-		return
-	}
-	if err != nil {
-		w.err = err
-		return
-	}
-	if t.offset == 0 {
-		t.offset = t.record.At
-	}
-	if at := max(t.record.At-t.offset, w.now); at < w.day.Length {
-		w.cal.plan(at, atArrival, evAsk, 0, 0)
-	}
-}
-
 // arrive is a client that wants something.
 func (t *traffic) arrive(w *World) {
 	d := w.day
 	w.lastAsk++
 	a := w.asks.Put(w.lastAsk)
 	*a = ask{key: mix(d.Seed ^ w.lastAsk*0x9e3779b97f4a7c15), first: w.now, hint: math.NaN()}
-	if t.replay != nil {
+	if t.replay {
 		t.recorded(w, a)
 	} else {
 		t.drawn(w, a)
@@ -209,10 +213,11 @@
 // recorded takes a request of a recording. A recording knows no work: the hint stands
 // for it, or else the class's mean with its spread.
 func (t *traffic) recorded(w *World, a *ask) {
-	r := &t.record
-	a.class = t.classOf[t.replay.Header().Classes[r.Class]]
+	r := t.records[0]
+	t.records = t.records[1:]
+	a.class = t.classOf[t.head.Classes[r.Class]]
 	a.zone = int(a.key>>8) % len(w.day.Zones)
-	if z := t.replay.Header().Zone; z != "" {
+	if z := t.head.Zone; z != "" {
 		for i, name := range w.day.Zones {
 			if name == z {
 				a.zone = i
