Write whole blocks only while recording; keep the child's channel to its reader

Cause: under the race detector a recording's blocks depended on when the writer woke, and the child's reader looked at a field that Close clears. Whole blocks are written until the end, and the reader has the channel itself. Tests pass under -race, twice.

--- a/internal/model/child.go
+++ b/internal/model/child.go
@@ -91,8 +91,9 @@
 	}
 	c.stdin, c.in = stdin, bufio.NewWriterSize(stdin, 1<<16)
 	out := bufio.NewReaderSize(stdout, 1<<16)
+	ask := c.ask
 	go func() { // reads one reply for each batch that is asked for
-		for seq := range c.ask {
+		for seq := range ask {
 			actions, err := wire.ReadReply(out, seq, nil)
 			c.replies <- reply{actions, err}
 			if err != nil {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -164,21 +164,24 @@
 	var err error
 	written := int64(0)
 	for range w.wake {
-		err = w.flush(f, &written, err)
+		err = w.flush(f, &written, err, false)
 	}
-	err = w.flush(f, &written, err)
+	err = w.flush(f, &written, err, true)
 	if cerr := f.Close(); err == nil {
 		err = cerr
 	}
 	w.done <- err
 }
 
-// flush writes all that is pending, in blocks. After an error or past the limit it
-// only drops.
-func (w *Writer) flush(f io.Writer, written *int64, err error) error {
+// flush writes the whole blocks that are pending, and with all the rest, too. After an
+// error or past the limit it only drops.
+func (w *Writer) flush(f io.Writer, written *int64, err error, all bool) error {
 	w.mu.Lock()
 	batch := w.pending
-	w.pending = w.spare[:0]
+	if !all {
+		batch = batch[:len(batch)/blockRecords*blockRecords]
+	}
+	w.pending = append(w.spare[:0], w.pending[len(batch):]...)
 	w.mu.Unlock()
 	for at := 0; at < len(batch); at += blockRecords {
 		part := batch[at:min(at+blockRecords, len(batch))]
