--- a/balancer.go
+++ b/balancer.go
@@ -322,11 +322,12 @@
 func (b *Balancer) turn(now time.Duration, r *request, g *group, lane int, depth float64) *backend {
 	members := g.lane(lane)
 	var fallback *backend
-	for range 3 * len(members) {
+	for i := range 3 * len(members) {
 		g.next[lane] = (g.next[lane] + 1) % len(members)
 		to := members[g.next[lane]]
 		to.credit = min(to.credit+g.laneWeight(lane, g.next[lane])/g.most[lane], 1)
-		if b.load(to) >= depth || b.foreign(to) || !b.fits(now, r, to) || !b.may(now, r, to) || r.tried(to) {
+		nobody := i >= len(members) && fallback == nil // had room on the first round
+		if nobody || b.load(to) >= depth || b.foreign(to) || !b.fits(now, r, to) || !b.may(now, r, to) || r.tried(to) {
 			continue
 		}
 		if to.credit < 1 {
@@ -357,7 +358,7 @@
 	var best *backend
 	var most uint64
 	for _, to := range g.lane(lane) {
-		if h := mix(r.Key ^ mix(uint64(to.ID))); best == nil || h > most {
+		if h := mix(r.Key ^ to.salt); best == nil || h > most {
 			best, most = to, h
 		}
 	}
@@ -957,7 +958,7 @@
 		if e.State == Gone {
 			return
 		}
-		to = &backend{Entry: e, coldSince: -1, rank: b.rng.Float64()}
+		to = &backend{Entry: e, salt: mix(uint64(e.ID)), coldSince: -1, rank: b.rng.Float64()}
 		to.failing, to.sent = make([]float64, len(b.set.Classes)), make([]time.Duration, len(b.set.Classes))
 		if e.Zone != b.set.Zone {
 			to.away = 1
--- a/state.go
+++ b/state.go
@@ -40,6 +40,7 @@
 
 type backend struct {
 	Entry
+	salt      uint64  // of its id, for keys
 	away      int     // 0 own zone, 1 elsewhere: its index in groups
 	rank      float64 // of a draw, by which proxies share out the spill to it
 	weight    float64 // what round robin goes by: size, speed and warmth
