--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch/internal/scenario"
+	"piernotch/internal/tally"
 )
 
 // play runs one day of a scenario, with overrides.
@@ -80,3 +81,23 @@
 		}
 	}
 }
+
+func TestArrivalsDrawnAheadAreThoseThatAWorldPlays(t *testing.T) {
+	s, err := scenario.Load("felt-quake")
+	require.NoError(t, err)
+	d, err := s.Draw(3)
+	require.NoError(t, err)
+	list, err := Arrivals(d)
+	require.NoError(t, err)
+	r := play(t, NewInProcess(), "felt-quake", 3)
+	require.Len(t, list, r.Requests)
+	d, err = s.Draw(3)
+	require.NoError(t, err)
+	tl := tally.New(d)
+	for _, a := range list {
+		tl.Ask(a.At, a.Class, a.Work)
+	}
+	for i := range tl.Seconds {
+		require.InDelta(t, r.Seconds[i].Asked, tl.Seconds[i].Asked, 1e-6)
+	}
+}
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -4,12 +4,11 @@
 	"math"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"piernotch"
 	"piernotch/internal/audit"
 	"piernotch/internal/fleet"
 	"piernotch/internal/scenario"
+	"piernotch/internal/tally"
 )
 
 // Result is what came of one day. Service and its parts are shares of 1.
@@ -63,12 +62,12 @@
 	Ended   map[string]int `json:"attempts_ended"`
 }
 
-// Share is one class's service.
-type Share struct {
-	Name    string  `json:"name"`
-	Service float64 `json:"service"`
-	Asked   int     `json:"asked"`
-}
+// Parts of a result that whoever plays a day has in common.
+type (
+	Share       = tally.Share
+	Second      = tally.Second
+	LatencyStep = tally.LatencyStep
+)
 
 // Little compares what servers held on the mean with arrivals times time spent there.
 type Little struct {
@@ -77,15 +76,6 @@
 	SojournS float64 `json:"sojourn_s"`
 }
 
-// Second is one second of the day, by when requests were first made.
-type Second struct {
-	Asked  float64 `json:"asked"`  // worth
-	Served float64 `json:"served"` // worth, in the aim
-	Tries  int     `json:"tries"`
-	Refuse int     `json:"refused"`
-	Fail   int     `json:"failed"`
-}
-
 // ServerTrack is one server over the day, a sample a second.
 type ServerTrack struct {
 	Server int       `json:"server"`
@@ -96,12 +86,6 @@
 	State  []uint8   `json:"state"` // 0 up, 1 draining, 2 down, 3 silent, 4 fallen, 5 cold, 6 choked
 }
 
-// LatencyStep is a point of the latency distribution.
-type LatencyStep struct {
-	Percentile float64 `json:"percentile"`
-	MS         float64 `json:"ms"`
-}
-
 // Broken is how often a rule was broken.
 func (r *Result) Broken() int { return r.Lost + r.Repeated + r.DrainBreaks + r.ColdFalls }
 
@@ -114,16 +98,11 @@
 	TurnedAway, TableFull, Opened, Falls           int
 	Unreachable, GivenUp, Left, ListFailed         int
 	Outcomes                                       [piernotch.Moot + 1]int
-	ServedWork, AskedWork                          float64
-	LateUnserved                                   float64 // worth
+	ServedWork                                     float64
 	ModuleTime                                     time.Duration
 
-	asked, refused, failed, inAim int
-	classAsked, classServed       []float64
-	classCount                    []int
-	seconds                       []Second
-	hist                          *hdrhistogram.Histogram
-	digest                        uint64
+	tally  *tally.Tally
+	digest uint64
 
 	inside   int // attempts that servers hold
 	since    time.Duration
@@ -134,58 +113,13 @@
 	tracks []ServerTrack
 }
 
-func (m *meter) begin(d *scenario.Day) {
-	m.classAsked, m.classServed = make([]float64, len(d.Classes)), make([]float64, len(d.Classes))
-	m.classCount = make([]int, len(d.Classes))
-	m.seconds = make([]Second, int(math.Ceil(d.Length.Seconds())))
-	m.hist = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
-}
-
-func (m *meter) second(at time.Duration) *Second {
-	return &m.seconds[min(int(at/time.Second), len(m.seconds)-1)]
-}
-
-func (m *meter) ask(w *World, a *ask) {
-	m.asked++
-	m.AskedWork += a.work
-	m.classAsked[a.class] += a.worth
-	m.classCount[a.class]++
-	m.second(a.first).Asked += a.worth
-}
-
-// ended counts a try that brought its client nothing.
-func (m *meter) ended(w *World, a *ask, answer audit.Answer) {
-	s := m.second(a.first)
-	if answer == audit.Refused {
-		m.refused++
-		s.Refuse++
-		return
-	}
-	m.failed++
-	s.Fail++
-}
+func (m *meter) begin(d *scenario.Day) { m.tally = tally.New(d) }
 
 // finish counts a request that is over.
 func (m *meter) finish(w *World, a *ask, served bool) {
 	took := w.now - a.first
-	c := &w.day.Classes[a.class]
-	worth := 0.0
-	if served {
-		_ = m.hist.RecordValue(max(int64(took/time.Microsecond), 1))
-		worth = a.worth
-		if took > c.Aim {
-			worth *= c.LateWorth
-		} else {
-			m.inAim++
-		}
-	} else if took > c.Aim {
-		m.LateUnserved += a.worth
-	}
-	m.classServed[a.class] += worth
-	s := m.second(a.first)
-	s.Served += worth
-	s.Tries += a.tries
-	m.digest = mix(m.digest^mix(a.key^uint64(took)<<1)) + math.Float64bits(worth)
+	earned := m.tally.Finish(a.first, took, a.class, a.work, a.tries, served)
+	m.digest = mix(m.digest^mix(a.key^uint64(took)<<1)) + math.Float64bits(earned)
 }
 
 func (m *meter) sent(w *World, n int, cross bool) {
@@ -253,36 +187,21 @@
 
 // result works out what came of the day.
 func (w *World) result(wall time.Duration) *Result {
-	m, d := &w.meter, w.day
+	m, d, t := &w.meter, w.day, w.meter.tally
 	m.pass(w.now)
+	p := t.Parts()
 	r := &Result{
-		Seed: d.Seed, Requests: m.asked, Tries: m.Tries, Attempts: m.Attempts, Events: m.Events, Digest: m.digest, Falls: m.Falls,
+		Seed: d.Seed, Requests: t.Asked, Tries: m.Tries, Attempts: m.Attempts, Events: m.Events, Digest: m.digest, Falls: m.Falls,
+		Whole: p.Whole, WorstWindow: p.WorstWindow, WorstClass: p.WorstClass, Classes: p.Classes,
 		Lost: w.audit.Count(audit.Lost), Repeated: w.audit.Count(audit.Repeated),
 		DrainBreaks: w.audit.Count(audit.Drain), ColdFalls: w.audit.Count(audit.Cold), Breaks: w.audit.Breaks(),
-		WallS: wall.Seconds(), ModuleS: m.ModuleTime.Seconds(), Seconds: m.seconds, Servers: m.tracks,
+		WallS: wall.Seconds(), ModuleS: m.ModuleTime.Seconds(), Seconds: t.Seconds, Servers: m.tracks,
 		Handshakes: m.Opened, ListFailed: m.ListFailed, Ended: map[string]int{},
 	}
 	for s, name := range []string{"ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"} {
 		r.Ended[name] = m.Outcomes[s]
 	}
-	asks := float64(m.asked)
-	asked, served := 0.0, 0.0
-	r.WorstClass = 1
-	for i, c := range d.Classes {
-		asked += m.classAsked[i]
-		served += m.classServed[i]
-		share := Share{Name: c.Name, Asked: m.classCount[i], Service: 1}
-		if m.classAsked[i] > 0 { // a class that nobody sends is no worst one
-			share.Service = m.classServed[i] / m.classAsked[i]
-			r.WorstClass = min(r.WorstClass, share.Service)
-		}
-		r.Classes = append(r.Classes, share)
-	}
-	r.Whole = 1
-	if asked > 0 {
-		r.Whole = served / asked
-	}
-	r.WorstWindow = m.worstWindow(int(d.Score.Window/time.Second), r.Whole)
+	asks := float64(t.Asked)
 	r.DrainLatest = float64(w.audit.DrainLatest()/time.Microsecond) / 1000
 	spent, choked := 0.0, 0
 	for i := range w.servers {
@@ -292,43 +211,19 @@
 			choked++
 		}
 	}
-	r.ServedShare = quotient(float64(m.inAim), asks)
-	r.RefusedRate, r.FailedRate = quotient(float64(m.refused), asks), quotient(float64(m.failed), asks)
-	r.WasteRate = quotient(max(spent-m.ServedWork, 0), m.AskedWork)
+	r.ServedShare = quotient(float64(t.InAim), asks)
+	r.RefusedRate, r.FailedRate = quotient(float64(t.Refused), asks), quotient(float64(t.Failed), asks)
+	r.WasteRate = quotient(max(spent-m.ServedWork, 0), t.AskedWork)
 	r.CrossRate, r.ProbeRate = quotient(float64(m.Cross), asks), quotient(float64(m.Probes), asks)
 	r.RetryRate = quotient(float64(m.Attempts-m.Firsts), asks)
 	r.ChokedShare = quotient(float64(choked), float64(len(w.servers)))
 	g := &d.Score
-	r.Deducted = g.Waste*r.WasteRate + g.LateFail*quotient(m.LateUnserved, asked) + g.CrossZone*r.CrossRate + g.Probe*r.ProbeRate + g.Choke*r.ChokedShare
-	r.Service = max(g.Whole*r.Whole+g.WorstWindow*r.WorstWindow+g.WorstClass*r.WorstClass-r.Deducted, 0)
-	if m.hist.TotalCount() > 0 {
-		at := func(p float64) float64 { return float64(m.hist.ValueAtPercentile(p)) / 1000 }
-		r.P50, r.P90, r.P99, r.P999 = at(50), at(90), at(99), at(99.9)
-		for _, p := range []float64{1, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 98, 99, 99.5, 99.9, 99.95, 99.99, 100} {
-			r.Latency = append(r.Latency, LatencyStep{p, at(p)})
-		}
+	r.Deducted = g.Waste*r.WasteRate + g.LateFail*p.LateFail + g.CrossZone*r.CrossRate + g.Probe*r.ProbeRate + g.Choke*r.ChokedShare
+	r.Service = p.Service(*g, r.Deducted)
+	if r.Latency = t.Latency(); r.Latency != nil {
+		r.P50, r.P90, r.P99, r.P999 = t.Percentile(50), t.Percentile(90), t.Percentile(99), t.Percentile(99.9)
 	}
-	t := w.now.Seconds()
-	r.Little = Little{Held: quotient(m.area, t), PerSec: quotient(float64(m.accepted), t), SojournS: quotient(m.sojourn, float64(m.accepted))}
+	span := w.now.Seconds()
+	r.Little = Little{Held: quotient(m.area, span), PerSec: quotient(float64(m.accepted), span), SojournS: quotient(m.sojourn, float64(m.accepted))}
 	return r
 }
-
-// worstWindow is the least share served in any span of so many whole seconds in which
-// something was asked for. A day shorter than that is one window.
-func (m *meter) worstWindow(n int, whole float64) float64 {
-	n = min(max(n, 1), len(m.seconds))
-	worst := whole
-	asked, served := 0.0, 0.0
-	for i, s := range m.seconds {
-		asked += s.Asked
-		served += s.Served
-		if i >= n {
-			asked -= m.seconds[i-n].Asked
-			served -= m.seconds[i-n].Served
-		}
-		if i >= n-1 && asked > 1e-9 {
-			worst = min(worst, max(served, 0)/asked)
-		}
-	}
-	return worst
-}
--- a/internal/model/traffic.go
+++ b/internal/model/traffic.go
@@ -149,29 +149,61 @@
 
 // arrive is a client that wants something.
 func (t *traffic) arrive(w *World) {
-	d := w.day
 	w.lastAsk++
 	a := w.asks.Put(w.lastAsk)
+	t.make(w, a)
+	w.meter.tally.Ask(a.first, a.class, a.work)
+	w.newTry(w.lastAsk)
+	t.next(w)
+}
+
+// make draws what the client wants.
+func (t *traffic) make(w *World, a *ask) {
+	d := w.day
 	*a = ask{key: mix(d.Seed ^ w.lastAsk*0x9e3779b97f4a7c15), first: w.now, hint: math.NaN()}
 	if t.replay {
 		t.recorded(w, a)
 	} else {
 		t.drawn(w, a)
 	}
-	c := &d.Classes[a.class]
-	a.until = w.now + c.Deadline
-	a.worth = c.Worth
-	if d.Score.ByWork {
-		a.worth *= a.work
-	}
+	a.until = w.now + d.Classes[a.class].Deadline
 	a.impatient = t.heavy.Float64()
 	a.most = int(d.Clients.Retries)
 	if t.heavy.Float64() < d.Clients.Retries-float64(a.most) {
 		a.most++
 	}
-	w.meter.ask(w, a)
-	w.newTry(w.lastAsk)
-	t.next(w)
+}
+
+// Arrival is a client's request as it is due.
+type Arrival struct {
+	At    time.Duration
+	Class int
+	Zone  int
+	Work  float64 // ms
+	Hint  float64 // ms; NaN: none
+	Key   uint64  // 0: none
+	Tries int     // that the client makes at the most
+	Seed  uint64  // of what else it draws
+}
+
+// Arrivals draws all of a day's requests ahead: the same that a World of it plays.
+func Arrivals(day *scenario.Day) ([]Arrival, error) {
+	w := &World{day: day}
+	if err := w.traffic.begin(w); err != nil {
+		return nil, err
+	}
+	var out []Arrival
+	for w.traffic.next(w); ; w.traffic.next(w) {
+		e, ok := w.cal.take()
+		if !ok {
+			return out, nil
+		}
+		w.now = e.at
+		w.lastAsk++
+		var a ask
+		w.traffic.make(w, &a)
+		out = append(out, Arrival{At: a.first, Class: a.class, Zone: a.zone, Work: a.work, Hint: a.hint, Key: a.path, Tries: a.most + 1, Seed: a.key})
+	}
 }
 
 func (t *traffic) drawn(w *World, a *ask) {
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -36,9 +36,8 @@
 	work      float64
 	hint      float64 // NaN: none
 	path      uint64  // the key that it concerns
-	worth     float64
-	tries     int // so far
-	most      int // that it would make
+	tries     int     // so far
+	most      int     // that it would make
 	impatient float64
 	last      uint64 // its present try
 }
@@ -617,7 +616,7 @@
 		w.finishAsk(askID, true)
 		return
 	}
-	w.meter.ended(w, a, answer)
+	w.meter.tally.Ended(a.first, answer == audit.Refused)
 	k := &w.day.Classes[a.class]
 	again := k.Effect == piernotch.Safe || answer == audit.Refused || unreached ||
 		k.Effect == piernotch.Keyed && k.Scope == piernotch.ScopeAll && w.now < a.first+k.Window
