--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -236,6 +236,14 @@
 	}
 }
 
+// Dropped says that a balancer ended the connection of a request without an answer.
+func (a *Auditor) Dropped(at time.Duration, id uint64) {
+	if r := a.requests.Get(id); r != nil && !r.answered {
+		a.broke(Break{Lost, at, int(r.inst), id, -1, "its connection was ended without an answer", a.steps(id)})
+		a.Excused(at, id)
+	}
+}
+
 func (a *Auditor) class(r *request) *piernotch.Class {
 	if r.class < 0 || int(r.class) >= len(a.fig.Classes) {
 		return nil
--- /dev/null
+++ b/internal/emulator/fleet.go
@@ -0,0 +1,259 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"piernotch"
+	"piernotch/internal/fleet"
+	"piernotch/internal/scenario"
+)
+
+// Fleet is the stand-in feed servers of a day and their roster.
+type Fleet struct {
+	day     *scenario.Day
+	clock   Clock
+	watch   Observer
+	servers []*server
+	roster  *Roster
+	late    atomic.Int64 // of load reports, ns
+	script  []step
+	timers  []*time.Timer
+	mu      sync.Mutex
+	err     error
+}
+
+type step struct {
+	at time.Duration
+	do func()
+}
+
+// New makes the servers of a day and opens them; the roster has an address for each of
+// so many balancers. Nothing goes wrong until Play.
+func New(day *scenario.Day, balancers int, clock Clock, watch Observer, told Told) (*Fleet, error) {
+	f := &Fleet{day: day, clock: clock, watch: watch}
+	for i := range day.Servers {
+		if _, err := f.add(day.Servers[i]); err != nil {
+			return nil, err
+		}
+	}
+	f.plays()
+	for _, s := range f.servers[:len(day.Servers)] {
+		if err := s.open(); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	var err error
+	if f.roster, err = newRoster(f, balancers, told); err != nil {
+		f.Close()
+		return nil, err
+	}
+	for i := range day.Servers {
+		f.roster.publish(i, piernotch.Ready, 0)
+	}
+	return f, nil
+}
+
+func (f *Fleet) add(spec scenario.Server) (*server, error) {
+	n := len(f.servers)
+	s, err := newServer(f, n, spec, f.day.Seed<<16^uint64(n)+1)
+	if err == nil {
+		f.servers = append(f.servers, s)
+	}
+	return s, err
+}
+
+func (f *Fleet) reportsLate() time.Duration { return time.Duration(f.late.Load()) }
+
+// meanWork is what a request of a class takes on the mean, ms.
+func (f *Fleet) meanWork(class string) float64 {
+	class, _, _ = strings.Cut(class, "/")
+	for i := range f.day.Classes {
+		if f.day.Classes[i].Name == class {
+			return f.day.Classes[i].MeanWork
+		}
+	}
+	return f.day.MeanWork()
+}
+
+// Roster is the list of the servers.
+func (f *Fleet) Roster() *Roster { return f.roster }
+
+// Servers is how many there are, those that join later included.
+func (f *Fleet) Servers() int { return len(f.servers) }
+
+// Spec tells what a server was made of.
+func (f *Fleet) Spec(i int) scenario.Server { return f.servers[i].spec }
+
+// Choked is how many servers choked at some time.
+func (f *Fleet) Choked() int {
+	n := 0
+	for _, s := range f.servers {
+		s.mu.Lock()
+		if s.choked {
+			n++
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// Spent is the work that all servers did, ms.
+func (f *Fleet) Spent() float64 {
+	sum := 0.0
+	for _, s := range f.servers {
+		s.mu.Lock()
+		sum += s.phys.Spent()
+		s.mu.Unlock()
+	}
+	return sum
+}
+
+// Err is the first thing that the stand-ins could not do.
+func (f *Fleet) Err() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
+func (f *Fleet) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err == nil {
+		f.err = err
+	}
+}
+
+// Play has the day's troubles happen at their times, until the context ends.
+func (f *Fleet) Play(ctx context.Context) {
+	for _, s := range f.script {
+		f.timers = append(f.timers, time.AfterFunc(max(s.at-f.clock(), 0), func() {
+			if ctx.Err() == nil {
+				s.do()
+			}
+		}))
+	}
+}
+
+// Close ends all servers and the roster.
+func (f *Fleet) Close() {
+	for _, t := range f.timers {
+		t.Stop()
+	}
+	for _, s := range f.servers {
+		s.crash()
+		s.timer.Stop()
+	}
+	if f.roster != nil {
+		f.roster.close()
+	}
+}
+
+func (f *Fleet) at(t time.Duration, do func()) { f.script = append(f.script, step{t, do}) }
+
+// restartTakes is how long a server's process is away in a restart.
+const restartTakes = 500 * time.Millisecond
+
+// plays writes the script: what the model does to its servers, done to these.
+func (f *Fleet) plays() {
+	first := f.servers
+	for i := range f.day.Troubles {
+		in := &f.day.Troubles[i]
+		step := func(n int) time.Duration {
+			return in.At + in.For*time.Duration(n)/time.Duration(max(len(in.Servers), 1))
+		}
+		switch in.Kind {
+		case "report_late":
+			late := int64(in.Size * float64(time.Second))
+			f.at(in.At, func() { f.late.Add(late) })
+			f.at(in.End(), func() { f.late.Add(-late) })
+		case "discovery_outage":
+			f.at(in.At, func() { f.roster.outage(true) })
+			f.at(in.End(), func() { f.roster.outage(false) })
+		case "discovery_late":
+			late := int64(in.Size * float64(time.Second))
+			f.at(in.At, func() { f.roster.late.Add(late) })
+			f.at(in.End(), func() { f.roster.late.Add(-late) })
+		}
+		for n, number := range in.Servers {
+			s := first[number]
+			switch in.Kind {
+			case "slow":
+				f.at(in.At, func() { f.slow(s, in.Size) })
+				f.at(in.End(), func() { f.slow(s, 1/in.Size) })
+			case "pauses":
+				length := time.Duration(in.Size * float64(time.Millisecond))
+				f.at(in.At, func() { s.do(func(p *fleet.Server, now time.Duration) { p.SetPauses(now, in.Every, length) }) })
+				f.at(in.End(), func() { s.do(func(p *fleet.Server, now time.Duration) { p.SetPauses(now, 0, 0) }) })
+			case "shrink", "leave":
+				f.at(step(n), func() { f.drain(s) })
+				f.at(step(n)+in.Ramp, func() { f.end(s) })
+			case "join":
+				f.joins(number, n+1000*(in.Number+1), step(n))
+			case "replace":
+				f.at(step(n), func() { f.drain(s) })
+				f.at(step(n)+in.Ramp, func() { f.end(s) })
+				f.joins(number, n+1000*(in.Number+1), step(n))
+			case "restart":
+				f.at(step(n), func() { f.drain(s) })
+				f.at(step(n)+in.Ramp, func() { f.end(s) })
+				f.at(step(n)+in.Ramp+restartTakes, func() { f.start(s) })
+			case "crash":
+				f.at(in.At, func() { f.end(s) })
+				f.at(in.End(), func() { f.start(s) })
+			case "vanish":
+				f.at(in.At, func() {
+					s.vanish()
+					f.roster.later(s.number, piernotch.Gone, f.day.Discovery.Silent)
+				})
+				f.at(in.End(), func() { f.start(s) })
+			}
+		}
+	}
+}
+
+func (f *Fleet) slow(s *server, times float64) {
+	s.do(func(p *fleet.Server, now time.Duration) {
+		s.slow *= times
+		p.SetSlow(now, s.slow)
+	})
+}
+
+func (f *Fleet) drain(s *server) {
+	up := false
+	s.do(func(p *fleet.Server, now time.Duration) {
+		up = p.Life() == fleet.Up
+		p.Drain(now)
+	})
+	if up {
+		f.roster.later(s.number, piernotch.Draining, f.day.Discovery.Notice)
+	}
+}
+
+func (f *Fleet) end(s *server) {
+	s.crash()
+	f.roster.later(s.number, piernotch.Gone, f.day.Discovery.Notice)
+}
+
+func (f *Fleet) start(s *server) {
+	if err := s.start(); err != nil {
+		f.failed(err)
+		return
+	}
+	f.roster.later(s.number, piernotch.Ready, f.day.Discovery.Add)
+}
+
+func (f *Fleet) joins(like, number int, at time.Duration) {
+	s, err := f.add(f.day.Like(like, number))
+	if err != nil {
+		f.failed(fmt.Errorf("a server that joins: %w", err))
+		return
+	}
+	s.phys.Crash(0)
+	f.at(at, func() { f.start(s) })
+}
--- /dev/null
+++ b/internal/emulator/roster.go
@@ -0,0 +1,237 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"piernotch"
+)
+
+// Told is called when the roster has written a server's state to a balancer.
+type Told func(balancer, server int, state piernotch.State, born time.Duration)
+
+// Roster is a stand-in for discovery: the whole list, and a watch on its changes. Each
+// balancer asks at an address of its own, so that it is known who was told what.
+type Roster struct {
+	fleet   *Fleet
+	told    Told
+	late    atomic.Int64 // a trouble's further lateness, ns
+	servers []*http.Server
+	addr    []string
+	timers  []*time.Timer
+
+	mu      sync.Mutex
+	version uint64
+	entries map[int]*entry
+	seq     map[int]int
+	changed chan struct{} // closed at the next change
+	outages int
+	cut     context.Context // ends with an outage
+	cutAll  context.CancelFunc
+}
+
+type entry struct {
+	state   piernotch.State
+	born    time.Duration
+	address string
+	version uint64
+	started int64 // born as Unix ms; 0: long ago
+}
+
+func newRoster(f *Fleet, balancers int, told Told) (*Roster, error) {
+	r := &Roster{
+		fleet: f, told: told, entries: map[int]*entry{}, seq: map[int]int{}, changed: make(chan struct{}),
+	}
+	r.cut, r.cutAll = context.WithCancel(context.Background())
+	for i := range balancers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			r.close()
+			return nil, fmt.Errorf("roster: %w", err)
+		}
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /catalog/members", func(w http.ResponseWriter, req *http.Request) { r.answer(w, req, i) })
+		s := &http.Server{Handler: mux}
+		r.servers, r.addr = append(r.servers, s), append(r.addr, l.Addr().String())
+		go func() { _ = s.Serve(l) }()
+	}
+	return r, nil
+}
+
+// Address is where a balancer asks.
+func (r *Roster) Address(balancer int) string { return r.addr[balancer] }
+
+func (r *Roster) close() {
+	r.mu.Lock()
+	for _, t := range r.timers {
+		t.Stop()
+	}
+	r.mu.Unlock()
+	r.cutAll()
+	for _, s := range r.servers {
+		_ = s.Close()
+	}
+}
+
+// later lists a change after a while. What is known of a later start goes before it.
+func (r *Roster) later(server int, state piernotch.State, after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state != piernotch.Ready {
+		after += time.Duration(r.late.Load())
+	}
+	r.seq[server]++
+	seq := r.seq[server]
+	s := r.fleet.servers[server]
+	s.mu.Lock()
+	born := s.phys.Started()
+	s.mu.Unlock()
+	// Changes are published in steps.
+	if p := r.fleet.day.Discovery.Period; p > 0 {
+		now := r.fleet.clock()
+		after = (now+after+p-1)/p*p - now
+	}
+	r.timers = append(r.timers, time.AfterFunc(after, func() {
+		r.mu.Lock()
+		e := r.entries[server]
+		stale := e != nil && seq < r.seq[server] && state != piernotch.Ready && e.state == piernotch.Ready && e.born > born
+		r.mu.Unlock()
+		if !stale {
+			r.publish(server, state, born)
+		}
+	}))
+}
+
+// publish lists a server's state at once.
+func (r *Roster) publish(server int, state piernotch.State, born time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	s := r.fleet.servers[server]
+	s.mu.Lock()
+	address := s.address
+	s.mu.Unlock()
+	e := &entry{state: state, born: born, address: address, version: r.version}
+	if was := r.entries[server]; was != nil && was.born == born {
+		e.started = was.started // the same start is told as the same to the millisecond
+	} else if born > 0 {
+		e.started = time.Now().Add(born - r.fleet.clock()).UnixMilli()
+	}
+	r.entries[server] = e
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// outage ends all watches, and has calls fail until it is over.
+func (r *Roster) outage(begins bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !begins {
+		r.outages--
+		if r.outages == 0 {
+			r.cut, r.cutAll = context.WithCancel(context.Background())
+		}
+		return
+	}
+	r.outages++
+	r.cutAll()
+}
+
+type instanceJSON struct {
+	InstanceID  string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+}
+
+type listJSON struct {
+	Generation uint64         `json:"generation"`
+	Reset      bool           `json:"reset"`
+	Instances  []instanceJSON `json:"instances"`
+}
+
+var lifecycles = map[piernotch.State]string{
+	piernotch.Ready: "in_service", piernotch.Draining: "terminating", piernotch.Gone: "terminated",
+}
+
+// list is what has changed since a version, or with whole everything that is there. The
+// lock is held.
+func (r *Roster) list(since uint64, whole bool) (listJSON, []int) {
+	out := listJSON{Generation: r.version, Reset: whole, Instances: []instanceJSON{}}
+	var servers []int
+	for i := range r.fleet.servers {
+		e := r.entries[i]
+		if e == nil || !whole && e.version <= since || whole && e.state == piernotch.Gone {
+			continue
+		}
+		s := r.fleet.servers[i]
+		out.Instances = append(out.Instances, instanceJSON{
+			s.name, e.address, r.fleet.day.Zones[s.spec.Zone], s.spec.Kind.Name, s.spec.Cell, lifecycles[e.state], s.spec.Size, e.started,
+		})
+		servers = append(servers, i)
+	}
+	return out, servers
+}
+
+// Known is the whole list as JSON, as a balancer's configuration holds it.
+func (r *Roster) Known() json.RawMessage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l, _ := r.list(0, true)
+	data, _ := json.Marshal(l)
+	return data
+}
+
+func (r *Roster) answer(w http.ResponseWriter, req *http.Request, balancer int) {
+	index, ierr := strconv.ParseUint(req.URL.Query().Get("index"), 10, 64)
+	wait, _ := strconv.Atoi(req.URL.Query().Get("wait"))
+	deadline := time.NewTimer(time.Duration(min(max(wait, 0), 60000)) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		r.mu.Lock()
+		cut, changed := r.cut, r.changed
+		if r.outages > 0 {
+			r.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		whole := ierr != nil || index > r.version
+		if whole || r.version > index || wait <= 0 {
+			l, servers := r.list(index, whole)
+			states := make([]entry, len(servers))
+			for i, s := range servers {
+				states[i] = *r.entries[s]
+			}
+			r.mu.Unlock()
+			data, _ := json.Marshal(l)
+			w.Header().Set("Content-Type", "application/json")
+			if _, err := w.Write(data); err == nil && r.told != nil {
+				for i, s := range servers {
+					r.told(balancer, s, states[i].state, states[i].born)
+				}
+			}
+			return
+		}
+		r.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline.C:
+			wait = 0
+		case <-cut.Done():
+			panic(http.ErrAbortHandler) // the connection breaks
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearse/judge.go
@@ -0,0 +1,208 @@
+// Package rehearse plays a scenario on real sockets: stand-in feed servers and roster,
+// open-loop clients, and balancers as processes of their own, judged by internal/audit
+// from what both ends saw.
+package rehearse
+
+import (
+	"sync"
+	"time"
+
+	"piernotch"
+	"piernotch/internal/audit"
+	"piernotch/internal/load"
+	"piernotch/internal/scenario"
+)
+
+// onSockets is how much longer every time limit is than in simulated time.
+const onSockets = 50 * time.Millisecond
+
+// crossing is how long after its answer a request may still arrive at a server: it was
+// sent before.
+const crossing = 100 * time.Millisecond
+
+// Judge feeds the auditor with what clients, servers and the roster see. All methods
+// may be called from any goroutine.
+type Judge struct {
+	clock func() time.Duration
+	mu    sync.Mutex
+	audit *audit.Auditor
+	last  uint64
+	ids   map[string]*seen
+	ended []ending // to be forgotten in time
+}
+
+type seen struct {
+	seq      uint64
+	balancer int
+	attempts int
+	done     time.Duration // 0: open
+	skip     map[int]bool  // attempts that crossed the answer
+}
+
+type ending struct {
+	id string
+	at time.Duration
+}
+
+// NewJudge returns a judge of a day. Zone and cell tell where a server is.
+func NewJudge(day *scenario.Day, clock func() time.Duration, zone, cell func(int) int) *Judge {
+	fig := audit.Figures{
+		Slack: day.Rules.Slack + onSockets, Grace: day.Rules.Grace + onSockets, FallFor: day.Rules.Fall.For,
+		MaxAttempts: day.Settings.Limits.MaxAttempts, SecondCopies: day.Settings.Limits.SecondCopies, Zone: zone, Cell: cell,
+	}
+	for _, c := range day.Classes {
+		fig.Classes = append(fig.Classes, c.Class)
+	}
+	return &Judge{clock: clock, audit: audit.New(fig), ids: map[string]*seen{}}
+}
+
+// Taken implements load.Observer.
+func (j *Judge) Taken(id string, balancer, class int, deadline time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.clock()
+	j.last++
+	j.ids[id] = &seen{seq: j.last, balancer: balancer}
+	j.audit.Taken(now, balancer, j.last, class, deadline)
+	for len(j.ended) > 0 && now-j.ended[0].at > 10*time.Second {
+		delete(j.ids, j.ended[0].id)
+		j.ended = j.ended[1:]
+	}
+}
+
+// Ended implements load.Observer. A request without an answer when its time is up has
+// failed and is not lost; one whose balancer ended the connection is, unless the
+// balancer was killed, which Killed says beforehand.
+func (j *Judge) Ended(id string, answer load.Answer) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.clock()
+	s := j.ids[id]
+	if s == nil || s.done != 0 {
+		return
+	}
+	s.done = now
+	j.ended = append(j.ended, ending{id, now})
+	switch answer {
+	case load.Served:
+		j.audit.Answered(now, s.seq, audit.Served)
+	case load.Refused:
+		j.audit.Answered(now, s.seq, audit.Refused)
+	case load.Failed:
+		j.audit.Answered(now, s.seq, audit.Failed)
+	case load.Broken:
+		j.audit.Dropped(now, s.seq)
+	default:
+		j.audit.Excused(now, s.seq)
+	}
+}
+
+// Killed excuses all that a balancer holds: its process is about to be killed.
+func (j *Judge) Killed(balancer int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.clock()
+	for id, s := range j.ids {
+		if s.balancer == balancer && s.done == 0 {
+			s.done = now
+			j.ended = append(j.ended, ending{id, now})
+			j.audit.Excused(now, s.seq)
+		}
+	}
+}
+
+// Restarted says that a balancer begins anew.
+func (j *Judge) Restarted(balancer int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.audit.Restarted(balancer)
+}
+
+// Sent implements emulator.Observer.
+func (j *Judge) Sent(id string, server int) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s := j.ids[id]
+	if s == nil {
+		return -1
+	}
+	now := j.clock()
+	n := s.attempts
+	s.attempts++
+	if s.done != 0 && now-s.done < crossing {
+		if s.skip == nil {
+			s.skip = map[int]bool{}
+		}
+		s.skip[n] = true
+		return n
+	}
+	j.audit.Sent(now, s.balancer, s.seq, server)
+	return n
+}
+
+// of finds an attempt that is judged. The lock is held.
+func (j *Judge) of(id string, n int) *seen {
+	s := j.ids[id]
+	if s == nil || s.skip[n] {
+		return nil
+	}
+	return s
+}
+
+// Began implements emulator.Observer.
+func (j *Judge) Began(id string, n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if s := j.of(id, n); s != nil {
+		j.audit.Began(s.seq, n)
+	}
+}
+
+// Ran implements emulator.Observer.
+func (j *Judge) Ran(id string, n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if s := j.of(id, n); s != nil {
+		j.audit.Ran(j.clock(), s.seq, n)
+	}
+}
+
+// Over implements emulator.Observer.
+func (j *Judge) Over(id string, n int, unrun bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if s := j.of(id, n); s != nil {
+		j.audit.Over(s.seq, n, unrun)
+	}
+}
+
+// Reached implements emulator.Observer.
+func (j *Judge) Reached(id string, server int, started time.Duration, work float64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if s := j.ids[id]; s != nil {
+		j.audit.Reached(j.clock(), s.balancer, server, started, work)
+	}
+}
+
+// Fell implements emulator.Observer.
+func (j *Judge) Fell(server int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.audit.Fell(j.clock(), server)
+}
+
+// Told is called when the roster has told a balancer of a server.
+func (j *Judge) Told(balancer, server int, state piernotch.State, born time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.audit.Told(j.clock(), balancer, server, state, born)
+}
+
+// Verdict ends the judging.
+func (j *Judge) Verdict() *audit.Auditor {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.audit.Look(j.clock() + time.Minute)
+	return j.audit
+}
--- /dev/null
+++ b/internal/rehearse/process.go
@@ -0,0 +1,197 @@
+package rehearse
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"piernotch/internal/scenario"
+	"piernotch/internal/wire"
+)
+
+// process is one balancer as a program of its own.
+type process struct {
+	number  int
+	zone    int
+	program string
+	dir     string
+	address string
+	config  string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{}
+	killed bool // by the rig
+	front  bool // clients are sent here
+	crash  string
+	cpu    time.Duration // of ended processes
+}
+
+// limits is what a balancer may use.
+type limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+func newProcess(dir, program string, number int, day *scenario.Day) (*process, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	return &process{
+		number: number, zone: day.Balancers[number].Zone, program: program, dir: dir, address: address,
+		config: filepath.Join(dir, fmt.Sprintf("n%d.json", number)),
+	}, nil
+}
+
+// configure writes the platform's JSON.
+func (p *process) configure(day *scenario.Day, discovery string, known json.RawMessage, l limits) error {
+	set := day.Settings
+	set.Zone = p.zone
+	r := &day.Rules
+	settings, err := wire.Marshal(&set, wire.Extra{
+		Number: p.number, KeepAliveMS: wire.Milliseconds(r.KeepAlive), DialMS: wire.Milliseconds(r.Dial), SlackMS: wire.Milliseconds(r.Slack),
+		GraceMS: wire.Milliseconds(r.Grace), FallMultiple: r.Fall.Multiple, FallMS: wire.Milliseconds(r.Fall.For),
+		MachineTypes: day.KindNames(), Columns: []string{"eps", "qps", "inflight"}, WorthBy: "work",
+	})
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(map[string]any{
+		"name": fmt.Sprintf("n%d", p.number), "listen": p.address, "discovery": discovery,
+		"seed": fmt.Sprintf("%x", day.Seed*1000+uint64(p.number)+1), "limits": l, "known": known, "settings": json.RawMessage(settings),
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.config, data, 0o600)
+}
+
+// start begins the process and waits until it is ready.
+func (p *process) start(ctx context.Context, sockets int) error {
+	log, err := os.OpenFile(filepath.Join(p.dir, fmt.Sprintf("n%d.log", p.number)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.program)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+p.config, "PIERNOTCH_CONFIG=")
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("balancer %d: %w", p.number, err)
+	}
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.done, p.killed = cmd, done, false
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		if p.cmd == cmd {
+			p.front = false
+			if !p.killed {
+				p.crash = fmt.Sprintf("balancer %d ended by itself: %v%s", p.number, err, p.lastLines())
+			}
+		}
+		p.mu.Unlock()
+		close(done)
+	}()
+	client := &http.Client{Timeout: time.Second}
+	for range 200 {
+		resp, err := client.Get("http://" + p.address + "/_health")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return nil
+			}
+		}
+		select {
+		case <-done:
+			return fmt.Errorf("balancer %d did not start%s", p.number, p.lastLines())
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("balancer %d is not ready after 10 s%s", p.number, p.lastLines())
+}
+
+// lastLines is the end of its log.
+func (p *process) lastLines() string {
+	data, err := os.ReadFile(filepath.Join(p.dir, fmt.Sprintf("n%d.log", p.number)))
+	if err != nil || len(data) == 0 {
+		return ""
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return "; it said last:\n" + strings.Join(lines[max(len(lines)-4, 0):], "\n")
+}
+
+// signal sends one to the process, if it runs, and returns what closes at its end.
+func (p *process) signal(s syscall.Signal) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	if s != syscall.SIGHUP {
+		p.killed = true
+	}
+	_ = p.cmd.Process.Signal(s)
+	return p.done
+}
+
+// usage is what the process uses now.
+type usage struct {
+	CPU         time.Duration
+	ResidentMB  float64
+	Descriptors int
+}
+
+// clockTick is the unit of CPU time in /proc, which Linux fixes for user space.
+const clockTick = 10 * time.Millisecond
+
+func (p *process) usage() usage {
+	p.mu.Lock()
+	cmd, total := p.cmd, p.cpu
+	ended := cmd == nil || cmd.ProcessState != nil
+	p.mu.Unlock()
+	u := usage{CPU: total}
+	if ended {
+		return u
+	}
+	dir := "/proc/" + strconv.Itoa(cmd.Process.Pid)
+	if data, err := os.ReadFile(dir + "/stat"); err == nil {
+		// Fields behind the name, which may hold spaces: user and system time are 12th and 13th.
+		if f := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:])); len(f) > 13 {
+			user, _ := strconv.Atoi(f[11])
+			system, _ := strconv.Atoi(f[12])
+			u.CPU += time.Duration(user+system) * clockTick
+		}
+	}
+	if data, err := os.ReadFile(dir + "/statm"); err == nil {
+		if f := strings.Fields(string(data)); len(f) > 1 {
+			pages, _ := strconv.Atoi(f[1])
+			u.ResidentMB = float64(pages*os.Getpagesize()) / (1 << 20)
+		}
+	}
+	if list, err := os.ReadDir(dir + "/fd"); err == nil {
+		u.Descriptors = len(list)
+	}
+	return u
+}
