--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,229 @@
+package emulator
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch"
+	"piernotch/internal/discovery"
+	"piernotch/internal/scenario"
+)
+
+const patience = 20 * time.Second
+
+// notes is an observer that keeps what it is told.
+type notes struct {
+	mu    sync.Mutex
+	lines []string
+	sent  map[string]int
+}
+
+func (n *notes) add(format string, args ...any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lines = append(n.lines, fmt.Sprintf(format, args...))
+}
+
+func (n *notes) has(line string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.lines {
+		if l == line {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *notes) Sent(id string, server int) int {
+	if id == "stranger" {
+		return -1
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[id]++
+	return n.sent[id] - 1
+}
+func (n *notes) Began(id string, a int)            { n.add("began %s %d", id, a) }
+func (n *notes) Ran(id string, a int)              { n.add("ran %s %d", id, a) }
+func (n *notes) Over(id string, a int, unrun bool) { n.add("over %s %d %t", id, a, unrun) }
+func (n *notes) Reached(id string, s int, _ time.Duration, w float64) {
+	n.add("reached %s %d %.0f", id, s, w)
+}
+func (n *notes) Fell(s int) { n.add("fell %d", s) }
+
+// open makes a fleet of one server whose day has begun.
+func open(t *testing.T, text string, told Told) (*Fleet, *notes) {
+	t.Helper()
+	s, err := scenario.Parse("test", []byte(`
+length_s = 60
+[fleet]
+servers = 1
+[discovery]
+period_ms = 0
+notice_s = 0.05
+add_s = 0.05
+[[class]]
+name = "read"
+work_ms = 5
+[[kind]]
+name = "one"
+queue_per_core = 0
+`+text))
+	require.NoError(t, err)
+	d, err := s.Draw(1)
+	require.NoError(t, err)
+	n := &notes{sent: map[string]int{}}
+	begun := time.Now()
+	f, err := New(d, 1, func() time.Duration { return time.Since(begun) }, n, told)
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f, n
+}
+
+type peer struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, f *Fleet) *peer {
+	t.Helper()
+	c, err := net.Dial("tcp", f.servers[0].address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return &peer{c, bufio.NewReader(c)}
+}
+
+func (p *peer) ask(id string, work int) {
+	_, _ = fmt.Fprintf(p, "GET /read?w=%d HTTP/1.1\r\nHost: b\r\nX-Request-Id: %s\r\n\r\n", work, id)
+}
+
+func (p *peer) answer(t *testing.T) (status int, header http.Header, body string) {
+	t.Helper()
+	r, err := http.ReadResponse(p.r, nil)
+	require.NoError(t, err)
+	data, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	return r.StatusCode, r.Header, string(data)
+}
+
+func TestAServerAnswersTurnsAwayAndKnowsItsCallers(t *testing.T) {
+	f, n := open(t, "report_every_ms = 1\n", nil)
+	a, b := dial(t, f), dial(t, f)
+	a.ask("1", 300)
+	require.Eventually(t, func() bool { return n.has("began 1 0") }, patience, time.Millisecond)
+	b.ask("2", 1)
+	status, header, _ := b.answer(t)
+	require.Equal(t, 503, status)
+	require.Equal(t, "1", header.Get("X-Not-Run"))
+	require.Contains(t, header.Get("X-Load"), "inflight=")
+	require.True(t, n.has("over 2 0 true"))
+	status, _, body := a.answer(t)
+	require.Equal(t, 200, status)
+	require.True(t, strings.HasSuffix(body, " 1"))
+	require.True(t, n.has("ran 1 0") && n.has("over 1 0 false"))
+	a.ask("stranger", 1)
+	status, _, _ = a.answer(t)
+	require.Equal(t, 400, status)
+	_, _ = io.WriteString(b, "GET /ping HTTP/1.1\r\nHost: b\r\n\r\nGET /read HTTP/1.1\r\nHost: b\r\n\r\n")
+	status, _, _ = b.answer(t)
+	require.Equal(t, 200, status)
+	status, _, _ = b.answer(t)
+	require.Equal(t, 404, status, "no id")
+}
+
+func TestACloseIsACancelAndACrashIsAReset(t *testing.T) {
+	f, n := open(t, "cancel = \"all\"\n", nil)
+	a := dial(t, f)
+	a.ask("1", 60000)
+	require.Eventually(t, func() bool { return n.has("began 1 0") }, patience, time.Millisecond)
+	_ = a.Close()
+	require.Eventually(t, func() bool { return n.has("over 1 0 false") }, patience, time.Millisecond)
+	b := dial(t, f)
+	b.ask("2", 60000) // the slot is free again
+	require.Eventually(t, func() bool { return n.has("began 2 0") }, patience, time.Millisecond)
+	f.end(f.servers[0])
+	_, err := b.r.ReadByte()
+	require.Error(t, err)
+	_, err = net.Dial("tcp", f.servers[0].address)
+	require.Error(t, err, "nobody listens")
+	address := f.servers[0].address
+	f.start(f.servers[0])
+	require.NoError(t, f.Err())
+	require.Equal(t, address, f.servers[0].address)
+	c := dial(t, f)
+	c.ask("3", 1)
+	status, _, _ := c.answer(t)
+	require.Equal(t, 200, status)
+}
+
+func TestAServerThatVanishedSaysNothing(t *testing.T) {
+	f, n := open(t, "", nil)
+	a := dial(t, f)
+	a.ask("1", 30)
+	require.Eventually(t, func() bool { return n.has("began 1 0") }, patience, time.Millisecond)
+	f.servers[0].vanish()
+	_ = a.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	_, err := a.r.ReadByte()
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout())
+}
+
+func TestTheRosterTellsTheListItsChangesAndItsOutage(t *testing.T) {
+	type word struct {
+		server int
+		state  piernotch.State
+	}
+	heard := make(chan word, 10)
+	f, _ := open(t, "", func(balancer, server int, state piernotch.State, _ time.Duration) { heard <- word{server, state} })
+	client := &http.Client{Timeout: patience}
+	get := func(query string) (discovery.List, int) {
+		r, err := client.Get("http://" + f.Roster().Address(0) + "/catalog/members" + query)
+		require.NoError(t, err)
+		defer r.Body.Close()
+		data, err := io.ReadAll(r.Body)
+		require.NoError(t, err)
+		if r.StatusCode != 200 {
+			return discovery.List{}, r.StatusCode
+		}
+		l, err := discovery.Parse(data, []string{"zone"})
+		require.NoError(t, err)
+		return l, r.StatusCode
+	}
+	whole, _ := get("")
+	require.True(t, whole.Reset)
+	require.Len(t, whole.Members, 1)
+	require.Equal(t, word{0, piernotch.Ready}, <-heard)
+	nothing, _ := get(fmt.Sprintf("?index=%d&wait=50", whole.Generation))
+	require.Empty(t, nothing.Members)
+	f.drain(f.servers[0])
+	change, _ := get(fmt.Sprintf("?index=%d&wait=20000", whole.Generation))
+	require.Equal(t, piernotch.Draining, change.Members[0].Entry.State)
+	require.Equal(t, word{0, piernotch.Draining}, <-heard)
+	f.start(f.servers[0])
+	change, _ = get(fmt.Sprintf("?index=%d&wait=20000", change.Generation))
+	require.Equal(t, piernotch.Ready, change.Members[0].Entry.State)
+	born := change.Members[0].Entry.Born
+	require.Positive(t, born)
+	again, _ := get("")
+	require.Equal(t, born, again.Members[0].Entry.Born, "one start is told as one")
+	f.roster.outage(true)
+	_, status := get("")
+	require.Equal(t, 503, status)
+	f.roster.outage(false)
+	_, status = get("")
+	require.Equal(t, 200, status)
+	f.Play(context.Background())
+}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -193,6 +193,16 @@
 			case "shrink", "leave":
 				f.at(step(n), func() { f.drain(s) })
 				f.at(step(n)+in.Ramp, func() { f.end(s) })
+			case "choke":
+				f.at(in.At, func() {
+					s.do(func(p *fleet.Server, now time.Duration) { p.SetChoked(now) })
+					s.mu.Lock()
+					s.choked = true
+					s.mu.Unlock()
+				})
+			case "list_loss":
+				f.at(in.At, func() { f.mistake(s, piernotch.Gone) })
+				f.at(in.End(), func() { f.mistake(s, piernotch.Ready) })
 			case "join":
 				f.joins(number, n+1000*(in.Number+1), step(n))
 			case "replace":
@@ -235,6 +245,16 @@
 	}
 }
 
+// mistake lists a server as gone that is not, or as ready again.
+func (f *Fleet) mistake(s *server, state piernotch.State) {
+	s.mu.Lock()
+	up, born := s.phys.Life() == fleet.Up, s.phys.Started()
+	s.mu.Unlock()
+	if up {
+		f.roster.publish(s.number, state, born)
+	}
+}
+
 func (f *Fleet) end(s *server) {
 	s.crash()
 	f.roster.later(s.number, piernotch.Gone, f.day.Discovery.Notice)
--- a/internal/emulator/roster.go
+++ b/internal/emulator/roster.go
@@ -51,22 +51,59 @@
 	}
 	r.cut, r.cutAll = context.WithCancel(context.Background())
 	for i := range balancers {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		r.servers, r.addr = append(r.servers, nil), append(r.addr, "")
+		if err := r.open(i); err != nil {
 			r.close()
-			return nil, fmt.Errorf("roster: %w", err)
+			return nil, err
 		}
-		mux := http.NewServeMux()
-		mux.HandleFunc("GET /catalog/members", func(w http.ResponseWriter, req *http.Request) { r.answer(w, req, i) })
-		s := &http.Server{Handler: mux}
-		r.servers, r.addr = append(r.servers, s), append(r.addr, l.Addr().String())
-		go func() { _ = s.Serve(l) }()
 	}
 	return r, nil
 }
 
+// open has a balancer's roster listen at a new address.
+func (r *Roster) open(balancer int) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("roster: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog/members", func(w http.ResponseWriter, req *http.Request) { r.answer(w, req, balancer) })
+	s := &http.Server{Handler: mux}
+	r.mu.Lock()
+	r.servers[balancer], r.addr[balancer] = s, l.Addr().String()
+	r.mu.Unlock()
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+// movedFor is how long open connections to an address that was left still work.
+const movedFor = 1500 * time.Millisecond
+
+// Move has a balancer's roster go to another address, which Address tells from then on.
+// The old one takes no new connections, and closes the open ones after a while.
+func (r *Roster) Move(balancer int) error {
+	r.mu.Lock()
+	old := r.servers[balancer]
+	r.mu.Unlock()
+	if err := r.open(balancer); err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(context.Background(), movedFor)
+	go func() {
+		defer stop()
+		if old.Shutdown(ctx) != nil {
+			_ = old.Close()
+		}
+	}()
+	return nil
+}
+
 // Address is where a balancer asks.
-func (r *Roster) Address(balancer int) string { return r.addr[balancer] }
+func (r *Roster) Address(balancer int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.addr[balancer]
+}
 
 func (r *Roster) close() {
 	r.mu.Lock()
@@ -76,7 +113,9 @@
 	r.mu.Unlock()
 	r.cutAll()
 	for _, s := range r.servers {
-		_ = s.Close()
+		if s != nil {
+			_ = s.Close()
+		}
 	}
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -244,6 +244,15 @@
 	s.slow = max(times, 1)
 }
 
+// SetChoked puts it into the slow state that overload leaves behind, as if it had been
+// overrun. It ends as it always does.
+func (s *Server) SetChoked(now time.Duration) {
+	s.move(now)
+	if s.kind.Choke.At > 0 && s.life <= Draining {
+		s.choked, s.chokedAt, s.idleSince = true, now, Never
+	}
+}
+
 // SetPauses has it stand still for length every so often instead of as its kind
 // does; zeros end that.
 func (s *Server) SetPauses(now, every, length time.Duration) {
--- a/internal/model/discovery.go
+++ b/internal/model/discovery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"piernotch"
+	"piernotch/internal/fleet"
 	"piernotch/internal/scenario"
 )
 
@@ -103,13 +104,32 @@
 	if !changed || d.outages > 0 {
 		return
 	}
+	d.push(w)
+}
+
+// push tells those who watch.
+func (d *discovery) push(w *World) {
 	for i := range w.insts {
-		if in := &w.insts[i]; in.up && in.watch {
+		if in := &w.insts[i]; in.up && in.watch && d.outages == 0 {
 			d.plan(w, i, w.now+d.spread(w, i), pushChanges)
 		}
 	}
 }
 
+// mistake lists servers as gone that are not, or as ready again; those that have ended
+// or drain meanwhile stay as they are listed.
+func (d *discovery) mistake(w *World, servers []int, state piernotch.State) {
+	d.version++
+	for _, s := range servers {
+		if m := &w.servers[s]; m.Life() != fleet.Up {
+			continue
+		}
+		l := &d.listed[s]
+		l.present, l.state, l.changed, l.at = state != piernotch.Gone, state, d.version, w.now
+	}
+	d.push(w)
+}
+
 // newer tells whether a later start of the server is listed than the notice is about.
 func (d *discovery) newer(w *World, n notice) bool {
 	l := &d.listed[n.server]
--- a/internal/model/troubles.go
+++ b/internal/model/troubles.go
@@ -76,6 +76,20 @@
 				w.at(at+w.longest(), func() { w.killInstance(b) })
 				w.at(at+w.longest()+in.For, func() { w.startInstance(b, false) })
 			}
+		case "choke":
+			for _, s := range in.Servers {
+				w.at(in.At, func() {
+					w.servers[s].SetChoked(w.now)
+					w.servers[s].choked = true
+					w.schedule(s)
+				})
+			}
+		case "list_loss":
+			w.at(in.At, func() { w.disc.mistake(w, in.Servers, piernotch.Gone) })
+			w.at(in.End(), func() { w.disc.mistake(w, in.Servers, piernotch.Ready) })
+		case "roster_move": // to the balancers it is an outage that is over at once
+			w.at(in.At, func() { w.disc.outage(w, true) })
+			w.at(in.At+time.Millisecond, func() { w.disc.outage(w, false) })
 		case "discovery_outage":
 			w.at(in.At, func() { w.disc.outage(w, true) })
 			w.at(in.End(), func() { w.disc.outage(w, false) })
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -24,6 +24,7 @@
 	number  int
 	zone    int
 	program string
+	env     []string
 	dir     string
 	address string
 	config  string
@@ -44,7 +45,7 @@
 	Sockets  int     `json:"sockets"`
 }
 
-func newProcess(dir, program string, number int, day *scenario.Day) (*process, error) {
+func newProcess(opts Options, number int, day *scenario.Day) (*process, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -52,8 +53,8 @@
 	address := l.Addr().String()
 	_ = l.Close()
 	return &process{
-		number: number, zone: day.Balancers[number].Zone, program: program, dir: dir, address: address,
-		config: filepath.Join(dir, fmt.Sprintf("n%d.json", number)),
+		number: number, zone: day.Balancers[number].Zone, program: opts.Program, env: opts.Env, dir: opts.Logs, address: address,
+		config: filepath.Join(opts.Logs, fmt.Sprintf("n%d.json", number)),
 	}, nil
 }
 
@@ -88,7 +89,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(p.program)
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+p.config, "PIERNOTCH_CONFIG=")
+	cmd.Env = append(append(os.Environ(), p.env...), "ROUTER_CONFIG="+p.config, "PIERNOTCH_CONFIG=")
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("balancer %d: %w", p.number, err)
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -19,10 +19,11 @@
 
 // Options say how a day is rehearsed.
 type Options struct {
-	Program  string // the balancer
-	MemoryMB int    // of each balancer; 0: 192
-	Sockets  int    // of each balancer; 0: 1024
-	Logs     string // directory for configurations and logs; none: one that is removed
+	Program  string   // the balancer
+	MemoryMB int      // of each balancer; 0: 192
+	Sockets  int      // of each balancer; 0: 1024
+	Env      []string // of the balancers, on top of this program's own
+	Logs     string   // directory for configurations and logs; none: one that is removed
 }
 
 // Quarter is what a balancer used in a quarter of the day.
@@ -100,7 +101,7 @@
 	defer r.fleet.Close()
 	defer r.end()
 	for i := range day.Balancers {
-		p, err := newProcess(opts.Logs, opts.Program, i, day)
+		p, err := newProcess(opts, i, day)
 		if err != nil {
 			return nil, err
 		}
@@ -194,6 +195,11 @@
 	}
 	for i := range r.day.Troubles {
 		in := &r.day.Troubles[i]
+		if in.Kind == "roster_move" {
+			for _, p := range r.procs {
+				at(in.At, func() { r.move(p) })
+			}
+		}
 		for n, b := range in.Balancers {
 			p := r.procs[b]
 			switch in.Kind {
@@ -229,6 +235,22 @@
 	}
 }
 
+// move has a balancer's discovery go to another address, and tells it by a reload.
+func (r *rig) move(p *process) {
+	roster := r.fleet.Roster()
+	err := roster.Move(p.number)
+	if err == nil {
+		err = p.configure(r.day, roster.Address(p.number), roster.Known(), r.limits)
+	}
+	if err != nil {
+		r.failed(err)
+		return
+	}
+	if !p.signalled() {
+		p.signal(syscall.SIGHUP)
+	}
+}
+
 // signalled tells whether the rig has ended the present process.
 func (p *process) signalled() bool {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/rehearse/rehearse_test.go
@@ -0,0 +1,258 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/audit"
+	"piernotch/internal/model"
+	"piernotch/internal/scenario"
+	"piernotch/internal/tally"
+)
+
+// TestMain lets the test's own program stand in for a balancer with a fault.
+func TestMain(m *testing.M) {
+	if fault := os.Getenv("FAKE_BALANCER"); fault != "" {
+		fake(fault)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// fake is a balancer that knows little and does one thing wrong: it sends each request
+// to the next server of the list that it was started with.
+func fake(fault string) {
+	var cfg struct {
+		Listen, Discovery string
+		Known             struct {
+			Instances []struct{ HostPort string }
+		}
+	}
+	data, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
+	if err != nil || json.Unmarshal(data, &cfg) != nil {
+		os.Exit(3)
+	}
+	if fault == "dies" {
+		fmt.Fprintln(os.Stderr, "out of cheese")
+		os.Exit(4)
+	}
+	go func() { // it asks for the list, and does not heed it
+		for {
+			if r, err := http.Get("http://" + cfg.Discovery + "/catalog/members"); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_ = r.Body.Close()
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+	var n atomic.Int64
+	forward := func(req *http.Request, body []byte) (*http.Response, error) {
+		to := cfg.Known.Instances[int(n.Add(1))%len(cfg.Known.Instances)].HostPort
+		out, err := http.NewRequest(req.Method, "http://"+to+req.URL.RequestURI(), bytes.NewReader(body))
+		if err != nil {
+			return nil, err
+		}
+		out.Header = req.Header.Clone()
+		return http.DefaultClient.Do(out)
+	}
+	serve := func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/_health" {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		odd := n.Load()%10 == 3
+		if fault == "repeats" && req.Method == "POST" && odd {
+			if r, err := forward(req, body); err == nil {
+				_ = r.Body.Close()
+			}
+		}
+		if fault == "drops" && odd {
+			panic(http.ErrAbortHandler)
+		}
+		r, err := forward(req, body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer r.Body.Close()
+		answer, _ := io.ReadAll(r.Body)
+		if fault == "lies" && r.StatusCode == 200 && odd {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(r.StatusCode)
+		_, _ = w.Write(answer)
+	}
+	s := &http.Server{Addr: cfg.Listen, Handler: http.HandlerFunc(serve)}
+	go func() {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM)
+		<-stop
+		_ = s.Close()
+	}()
+	_ = s.ListenAndServe()
+}
+
+func testDay(t *testing.T, text string, set ...string) *scenario.Day {
+	t.Helper()
+	s, err := scenario.Parse("test", []byte("include = \"base\"\n"+text))
+	require.NoError(t, err)
+	s, err = s.With(append([]string{
+		"length_s=6", "balancers.count=1", "fleet.servers=6", "traffic.rate_per_s=40", "class.*.work_ms=20", "clients.retries=1",
+		"kind.*.error_rate=0", "kind.*.cold_s=0",
+	}, set...)...)
+	require.NoError(t, err)
+	d, err := s.Draw(2)
+	require.NoError(t, err)
+	return d
+}
+
+func playFake(t *testing.T, fault, text string, set ...string) (*Report, error) {
+	t.Helper()
+	self, err := os.Executable()
+	require.NoError(t, err)
+	return Run(context.Background(), testDay(t, text, set...), Options{Program: self, Env: []string{"FAKE_BALANCER=" + fault}})
+}
+
+// conserved wants every try of a client to have ended in one way.
+func conserved(t *testing.T, r *Report) {
+	t.Helper()
+	c := r.Counts
+	require.Equal(t, c.Tries, c.Served+c.Refused+c.Failed+c.Unanswered+c.Broken+c.Unreached)
+	require.Positive(t, r.Requests)
+	require.GreaterOrEqual(t, c.Tries, r.Requests)
+}
+
+func TestPlantedFaultsAreCaughtOnSockets(t *testing.T) {
+	leave := "[[trouble]]\nkind = \"leave\"\nat_s = 0.5\nfor_s = 0.1\npart = 0.4\nramp_s = 5\n"
+	for _, c := range []struct {
+		fault, trouble string
+		rule           audit.Rule
+		what           string
+	}{
+		{"repeats", "", audit.Repeated, "though an earlier attempt may have run"},
+		{"drops", "", audit.Lost, "its connection was ended without an answer"},
+		{"lies", "", audit.Repeated, "refused what may have run"},
+		{"ignores drains", leave, audit.Drain, "after it was told that the server leaves"},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			t.Parallel()
+			r, err := playFake(t, c.fault, c.trouble, "discovery.notice_s=0.2", "discovery.period_ms=100")
+			require.NoError(t, err)
+			conserved(t, r)
+			found := false
+			for _, b := range r.Breaks {
+				found = found || b.Rule == c.rule && strings.Contains(b.What, c.what) && len(b.Steps) > 0
+			}
+			require.True(t, found, "%v", r.Breaks)
+		})
+	}
+}
+
+func TestABalancerThatDiesIsToldWithItsLastLines(t *testing.T) {
+	t.Parallel()
+	_, err := playFake(t, "dies", "")
+	require.ErrorContains(t, err, "out of cheese")
+}
+
+// The real balancer keeps the rules through a crash, a restart and servers that leave.
+func TestTheBalancerKeepsTheRulesOnSockets(t *testing.T) {
+	t.Parallel()
+	program := filepath.Join(t.TempDir(), "piernotch")
+	out, err := exec.Command("go", "build", "-o", program, "piernotch/cmd/piernotch").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	trouble := `
+[[trouble]]
+kind = "balancer_crash"
+at_s = 2
+for_s = 0.5
+part = 0.5
+[[trouble]]
+kind = "balancer_restart"
+at_s = 4
+for_s = 0.3
+part = 0.5
+[[trouble]]
+kind = "leave"
+at_s = 1
+for_s = 2
+part = 0.3
+ramp_s = 3
+[[trouble]]
+kind = "vanish"
+at_s = 3
+for_s = 2
+part = 0.2
+[[trouble]]
+kind = "discovery_outage"
+at_s = 2.5
+for_s = 1
+`
+	r, err := Run(context.Background(), testDay(t, trouble, "balancers.count=2", "length_s=8"), Options{Program: program})
+	require.NoError(t, err)
+	conserved(t, r)
+	require.Zero(t, r.Broken(), "%v", r.Breaks)
+	require.Greater(t, r.Counts.Served, r.Requests/2)
+	for _, quarters := range r.Balancers {
+		require.Len(t, quarters, 4)
+	}
+}
+
+func TestARehearsalThatIsEndedReportsWhatItHas(t *testing.T) {
+	t.Parallel()
+	self, err := os.Executable()
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	var once sync.Once
+	time.AfterFunc(2*time.Second, func() { once.Do(stop) })
+	began := time.Now()
+	r, err := Run(ctx, testDay(t, "", "length_s=120"), Options{Program: self, Env: []string{"FAKE_BALANCER=none"}})
+	if err == nil {
+		conserved(t, r)
+	}
+	require.Less(t, time.Since(began), 60*time.Second)
+}
+
+func TestRecoveryIsMeasuredAgainstTheControl(t *testing.T) {
+	control, r := &model.Result{}, &model.Result{}
+	for i := range 30 {
+		control.Seconds = append(control.Seconds, tally.Second{Asked: 10, Served: 8, Tries: 4})
+		r.Seconds = append(r.Seconds, tally.Second{Asked: 10, Served: 8, Tries: 4})
+		if i >= 12 && i < 16 {
+			r.Seconds[i].Served, r.Seconds[i].Refuse = 2, 2
+		}
+	}
+	require.Equal(t, Recovery{Lowest: 1, Whole: 1}, Recover(control, control, DrillAt))
+	got := Recover(r, control, DrillAt)
+	require.InDelta(t, 0.25, got.Lowest, 1e-9)
+	require.Equal(t, 6.0, got.Back, "the last 3 s that hold a bad second end 6 s after it began")
+	require.InDelta(t, 8.0/72, got.Refused, 1e-9)
+	for _, d := range Drills() {
+		s, err := d.Scenario()
+		require.NoError(t, err, d.Name)
+		c, _, err := d.Control()
+		require.NoError(t, err, d.Name)
+		a, err := s.Draw(1)
+		require.NoError(t, err)
+		b, err := c.Draw(1)
+		require.NoError(t, err)
+		require.Equal(t, a.Servers, b.Servers, d.Name)
+		require.Empty(t, b.Troubles)
+	}
+}
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -32,6 +32,9 @@
 	"vanish":           "part of the servers fall silent, and start again, cold, after for_s",
 	"balancer_crash":   "part of the balancers are killed at once and start again after for_s",
 	"balancer_restart": "part of the balancers are restarted one after the other, every_s apart, each away for for_s",
+	"choke":            "part of the servers are choked at once, as if overrun",
+	"list_loss":        "the list says by mistake that part of the servers are gone, and has them again after for_s",
+	"roster_move":      "discovery moves to another address, and balancers are told by a reload",
 	"discovery_outage": "discovery answers nothing and its watches end",
 	"discovery_late":   "discovery learns of changes size s later",
 }
@@ -304,7 +307,7 @@
 		if t.Size.least() < 1 {
 			c.add(at+"size", "%v, 1 or more is expected", t.Size.least())
 		}
-	case "discovery_outage":
+	case "discovery_outage", "roster_move":
 	default:
 		need("part", t.Part)
 	}
