--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -51,6 +51,13 @@
 It exits with 0 if all rules and aims held, 1 if not, 2 if it was called wrongly.`
 
 func main() {
+	if os.Getenv(proxyVariable) != "" {
+		if err := proxy(); err != nil {
+			fmt.Fprintln(os.Stderr, "notchlab:", err)
+			os.Exit(exitFails)
+		}
+		return
+	}
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
--- a/cmd/notchlab/rehearse.go
+++ b/cmd/notchlab/rehearse.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -45,6 +47,7 @@
 	Seed      uint64   `default:"1" help:"The first seed."`
 	Set       []string `sep:"none" placeholder:"KEY=VALUE" help:"Replace a value of the scenario; may be repeated."`
 	Program   string   `placeholder:"FILE" help:"The balancer; piernotch beside this program is the default."`
+	Proxy     bool     `help:"Put net/http/httputil's ReverseProxy in the balancer's place, to compare CPU and memory."`
 	MemoryMB  int      `name:"memory-mb" default:"192" help:"Memory limit told to each balancer."`
 	Sockets   int      `default:"1024" help:"Descriptor limit told to each balancer."`
 	Logs      string   `placeholder:"DIR" help:"Keep the balancers' configurations and logs there."`
@@ -60,6 +63,14 @@
 		}
 		c.Program = filepath.Join(filepath.Dir(self), "piernotch")
 	}
+	var env []string
+	if c.Proxy {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Program, env = self, []string{proxyVariable + "=1"}
+	}
 	var aims []experiment.Aim
 	for _, text := range c.Aim {
 		a, err := experiment.ParseAim(text)
@@ -82,7 +93,7 @@
 		for _, in := range d.Troubles {
 			fmt.Fprintf(o.out, "  %s from %.1f s for %.1f s\n", in.Kind, in.At.Seconds(), in.For.Seconds())
 		}
-		r, err := rehearse.Run(ctx, d, rehearse.Options{Program: c.Program, MemoryMB: c.MemoryMB, Sockets: c.Sockets, Logs: c.Logs})
+		r, err := rehearse.Run(ctx, d, rehearse.Options{Program: c.Program, Env: env, MemoryMB: c.MemoryMB, Sockets: c.Sockets, Logs: c.Logs})
 		if r != nil {
 			show(o, r)
 			if r.Void != "" {
@@ -154,6 +165,10 @@
 	}
 	fmt.Fprintf(o.out, "  rules broken: lost %d, repeated %d, drain %d, cold %d; %.0f us of CPU a request; the rig was %.1f ms late (p99)\n",
 		r.Lost, r.Repeated, r.DrainBreaks, r.ColdFalls, r.CPUPerAnswer, r.LatenessMS)
+	for _, kind := range slices.Sorted(maps.Keys(r.Rude)) {
+		c := r.Rude[kind]
+		fmt.Fprintf(o.out, "  rude clients, %s: %d, %d got an error or a close in time, %d were served\n", kind, c.Sent, c.Answered, c.Served)
+	}
 	t := table.NewWriter()
 	t.SetOutputMirror(o.out)
 	t.AppendHeader(table.Row{"balancer", "CPU s by quarter", "MB", "descriptors"})
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -21,6 +21,7 @@
 	servers []*server
 	roster  *Roster
 	late    atomic.Int64 // of load reports, ns
+	spoils  atomic.Int64 // share of answers that come spoilt, in millionths
 	script  []step
 	timers  []*time.Timer
 	mu      sync.Mutex
@@ -68,6 +69,8 @@
 	return s, err
 }
 
+func (f *Fleet) spoilt() float64 { return float64(f.spoils.Load()) / 1e6 }
+
 func (f *Fleet) reportsLate() time.Duration { return time.Duration(f.late.Load()) }
 
 // meanWork is what a request of a class takes on the mean, ms.
@@ -172,6 +175,10 @@
 			late := int64(in.Size * float64(time.Second))
 			f.at(in.At, func() { f.late.Add(late) })
 			f.at(in.End(), func() { f.late.Add(-late) })
+		case "spoil":
+			share := int64(in.Part * 1e6)
+			f.at(in.At, func() { f.spoils.Add(share) })
+			f.at(in.End(), func() { f.spoils.Add(-share) })
 		case "discovery_outage":
 			f.at(in.At, func() { f.roster.outage(true) })
 			f.at(in.End(), func() { f.roster.outage(false) })
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -330,7 +330,17 @@
 	case fleet.Erred:
 		return write(c, 500, fields, nil) && !m.Close
 	}
-	return write(c, 200, fields, []byte(s.name+" "+id)) && !m.Close
+	body := []byte(s.name + " " + id)
+	s.mu.Lock()
+	kind := -1
+	if s.luck.Float64() < s.fleet.spoilt() {
+		kind = s.luck.IntN(spoilKinds)
+	}
+	s.mu.Unlock()
+	if kind >= 0 {
+		return spoil(kind, c, fields, body, gone) && !m.Close
+	}
+	return write(c, 200, fields, body) && !m.Close
 }
 
 // arm sets the timer to when the physics must be looked at. The lock is held.
--- /dev/null
+++ b/internal/load/rude_test.go
@@ -0,0 +1,52 @@
+package load
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRudeClientsTellAnErrorFromSilenceAndFromService(t *testing.T) {
+	for _, c := range []struct {
+		says             string // what the balancer answers, "" nothing
+		closes           bool
+		answered, served bool
+	}{
+		{"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n", true, true, false},
+		{"", true, true, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, false, true},
+		{"", false, false, false},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					_, _ = io.WriteString(conn, c.says)
+					if c.closes {
+						_ = conn.Close()
+						return
+					}
+					_, _ = io.Copy(io.Discard, conn)
+				}()
+			}
+		}()
+		r := &Rude{Patience: 200 * time.Millisecond, Front: func(int, *rand.Rand) (int, string, bool) { return 0, l.Addr().String(), true }}
+		for kind := range rudeKinds {
+			answered, served := r.one(t.Context(), kind, l.Addr().String(), "id")
+			require.Equal(t, c.served, served, "%s: %q", rudeKinds[kind].name, c.says)
+			require.Equal(t, c.answered, answered, "%s: %q", rudeKinds[kind].name, c.says)
+			r.count(rudeKinds[kind].name, answered, served)
+		}
+		require.Len(t, r.Counts(), len(rudeKinds))
+		_ = l.Close()
+	}
+}
--- a/internal/model/troubles.go
+++ b/internal/model/troubles.go
@@ -76,6 +76,9 @@
 				w.at(at+w.longest(), func() { w.killInstance(b) })
 				w.at(at+w.longest()+in.For, func() { w.startInstance(b, false) })
 			}
+		case "spoil": // the request has run; what comes back is of no use
+			w.at(in.At, func() { w.spoilt += in.Part })
+			w.at(in.End(), func() { w.spoilt -= in.Part })
 		case "choke":
 			for _, s := range in.Servers {
 				w.at(in.At, func() {
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -152,6 +152,7 @@
 	script   []func()
 	traffic  traffic
 	late     time.Duration // of load reports, further
+	spoilt   float64       // share of answers that come spoilt
 	pending  []int
 	turnAt   time.Duration
 	lastTurn time.Duration
@@ -255,6 +256,7 @@
 	ofStart
 	ofSpread
 	ofClient
+	ofSpoil
 )
 
 // dice returns the random numbers of one concern of a key. They are good until the
@@ -867,6 +869,9 @@
 		}
 		a.load, a.hasLoad = m.Report(w.now, w.late)
 		status := piernotch.OK
+		if d.Ending == fleet.Answered && w.dice(a.key, ofSpoil).Float64() < w.spoilt {
+			d.Ending = fleet.Erred
+		}
 		switch d.Ending {
 		case fleet.Erred:
 			status = piernotch.Error
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -42,6 +42,8 @@
 	Void         string      `json:"void,omitempty"`  // why the run does not count
 	CPUPerAnswer float64     `json:"cpu_us_per_request"`
 	Balancers    [][]Quarter `json:"balancers"`
+
+	Rude map[string]load.RudeCount `json:"rude,omitempty"` // by what they sent
 }
 
 // mostLate is the rig's own lateness at the 99th percentile that voids a run.
@@ -55,6 +57,7 @@
 	fleet  *emulator.Fleet
 	procs  []*process
 	limits limits
+	rude   load.Rude
 	mu     sync.Mutex
 	err    error
 }
@@ -121,6 +124,7 @@
 	clients.Run(ctx)
 	close(stop)
 	report := r.report(clients, <-quarters)
+	report.Rude = r.rude.Counts()
 	if r.err == nil {
 		r.err = r.fleet.Err()
 	}
@@ -183,6 +187,7 @@
 			}
 		})
 	}
+	r.rude.Front = r.front
 	again := func(p *process) {
 		if err := r.launch(ctx, p); err != nil && ctx.Err() == nil {
 			r.failed(err)
@@ -195,6 +200,13 @@
 	}
 	for i := range r.day.Troubles {
 		in := &r.day.Troubles[i]
+		if in.Kind == "rude" {
+			at(in.At, func() {
+				ctx, stop := context.WithTimeout(ctx, in.For)
+				defer stop()
+				r.rude.Run(ctx, in.Size, r.day.Seed+uint64(i))
+			})
+		}
 		if in.Kind == "roster_move" {
 			for _, p := range r.procs {
 				at(in.At, func() { r.move(p) })
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -203,12 +203,26 @@
 kind = "discovery_outage"
 at_s = 2.5
 for_s = 1
+[[trouble]]
+kind = "spoil"
+at_s = 0.5
+for_s = 5
+part = 0.05
+[[trouble]]
+kind = "rude"
+at_s = 0.1
+for_s = 4
+size = 30
 `
 	r, err := Run(context.Background(), testDay(t, trouble, "balancers.count=2", "length_s=8"), Options{Program: program})
 	require.NoError(t, err)
 	conserved(t, r)
 	require.Zero(t, r.Broken(), "%v", r.Breaks)
 	require.Greater(t, r.Counts.Served, r.Requests/2)
+	require.NotEmpty(t, r.Rude)
+	for kind, c := range r.Rude {
+		require.Zero(t, c.Served, kind)
+	}
 	for _, quarters := range r.Balancers {
 		require.Len(t, quarters, 4)
 	}
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -33,6 +33,8 @@
 	"balancer_crash":   "part of the balancers are killed at once and start again after for_s",
 	"balancer_restart": "part of the balancers are restarted one after the other, every_s apart, each away for for_s",
 	"choke":            "part of the servers are choked at once, as if overrun",
+	"spoil":            "part of the answers come spoilt or with more than belongs to them; in the model they are errors",
+	"rude":             "size clients a second send what is no request, or nothing; on sockets only",
 	"list_loss":        "the list says by mistake that part of the servers are gone, and has them again after for_s",
 	"roster_move":      "discovery moves to another address, and balancers are told by a reload",
 	"discovery_outage": "discovery answers nothing and its watches end",
@@ -301,7 +303,7 @@
 		if t.EveryS.least()*1000 <= t.Size.most() {
 			c.add(at+"every_s", "more than size (%v ms) is expected", t.Size.most())
 		}
-	case "report_late", "burst", "discovery_late":
+	case "report_late", "burst", "discovery_late", "rude":
 		need("size", t.Size)
 	case "shrink":
 		if t.Size.least() < 1 {
