--- a/balancer.go
+++ b/balancer.go
@@ -317,8 +317,8 @@
 	return nil
 }
 
-// turn is round robin in one lane. A backend of less weight is passed over on
-// some of its turns, and one that holds its bound on all of them.
+// turn is round robin in one lane. A backend of less weight is passed over on some of its
+// turns, and one that holds its bound on all of them: nobody's on the first, nobody's later.
 func (b *Balancer) turn(now time.Duration, r *request, g *group, lane int, depth float64) *backend {
 	members := g.lane(lane)
 	var fallback *backend
@@ -326,8 +326,8 @@
 		g.next[lane] = (g.next[lane] + 1) % len(members)
 		to := members[g.next[lane]]
 		to.credit = min(to.credit+g.laneWeight(lane, g.next[lane])/g.most[lane], 1)
-		nobody := i >= len(members) && fallback == nil // had room on the first round
-		if nobody || b.load(to) >= depth || b.foreign(to) || !b.fits(now, r, to) || !b.may(now, r, to) || r.tried(to) {
+		if i >= len(members) && fallback == nil || b.load(to) >= depth || b.foreign(to) ||
+			!b.fits(now, r, to) || !b.may(now, r, to) || r.tried(to) {
 			continue
 		}
 		if to.credit < 1 {
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -169,13 +169,17 @@
 
 func (p *process) usage() usage {
 	p.mu.Lock()
-	cmd, total := p.cmd, p.cpu
-	ended := cmd == nil || cmd.ProcessState != nil
+	cmd, done, total := p.cmd, p.done, p.cpu
 	p.mu.Unlock()
 	u := usage{CPU: total}
-	if ended {
+	if cmd == nil {
 		return u
 	}
+	select {
+	case <-done:
+		return u
+	default:
+	}
 	dir := "/proc/" + strconv.Itoa(cmd.Process.Pid)
 	if data, err := os.ReadFile(dir + "/stat"); err == nil {
 		// Fields behind the name, which may hold spaces: user and system time are 12th and 13th.
