--- a/cmd/notchlab/model.go
+++ b/cmd/notchlab/model.go
@@ -63,6 +63,14 @@
 	return o.out
 }
 
+// table begins the text of a result.
+func (c *common) table(o *output, p experiment.Plan) (io.Writer, table.Writer) {
+	w, t := c.show(o), table.NewWriter()
+	t.SetOutputMirror(w)
+	t.SetTitle("%s, %d seeds from %d", p.Scenario.Name, c.Runs, c.Seed)
+	return w, t
+}
+
 func (c *common) keep(f *experiment.File) error {
 	if c.JSON == "" {
 		return nil
@@ -134,10 +142,7 @@
 		return err
 	}
 	f := &experiment.File{Kind: "run", Scenario: p.Scenario.Name, About: p.Scenario.About, Seed: c.Seed, Variant: &v, Runs: runs, Summary: experiment.Summary(runs)}
-	w := c.show(o)
-	t := table.NewWriter()
-	t.SetOutputMirror(w)
-	t.SetTitle("%s, %d seeds from %d", p.Scenario.Name, c.Runs, c.Seed)
+	w, t := c.table(o, p)
 	t.AppendHeader(table.Row{"figure", "mean and 95% interval"})
 	for _, n := range judged {
 		t.AppendRow(table.Row{n, f.Summary[n]})
@@ -196,10 +201,7 @@
 	if err != nil {
 		return err
 	}
-	w := c.show(o)
-	t := table.NewWriter()
-	t.SetOutputMirror(w)
-	t.SetTitle("%s, %d seeds from %d", p.Scenario.Name, c.Runs, c.Seed)
+	w, t := c.table(o, p)
 	t.AppendHeader(table.Row{"figure", "a: " + a.Name, "b: " + b.Name, "b less a, paired"})
 	for _, n := range judged {
 		t.AppendRow(table.Row{n, cmp.SummaryA[n], cmp.SummaryB[n], cmp.Difference[n]})
@@ -245,10 +247,7 @@
 	if err != nil {
 		return err
 	}
-	w := c.show(o)
-	t := table.NewWriter()
-	t.SetOutputMirror(w)
-	t.SetTitle("%s, %d seeds from %d", p.Scenario.Name, c.Runs, c.Seed)
+	w, t := c.table(o, p)
 	head := table.Row{}
 	for _, d := range dims {
 		head = append(head, d.Key)
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -168,6 +168,24 @@
 	require.Equal(t, 200, status)
 }
 
+func TestANewServerTakesOverTheAddressOfOneThatIsGone(t *testing.T) {
+	f, _ := open(t, "[[trouble]]\nkind = \"takeover\"\nat_s = 0\npart = 1\nramp_s = 0.1\n", nil)
+	old := f.servers[0].address
+	require.Len(t, f.servers, 2)
+	f.Play(context.Background())
+	require.Eventually(t, func() bool {
+		f.servers[1].mu.Lock()
+		defer f.servers[1].mu.Unlock()
+		return f.servers[1].listen != nil
+	}, patience, time.Millisecond)
+	require.Equal(t, old, f.servers[1].address)
+	c := dial(t, f)
+	c.ask("1", 1)
+	status, _, body := c.answer(t)
+	require.Equal(t, 200, status)
+	require.Equal(t, "s-1 1", body, "it answers under its own name")
+}
+
 func TestAServerThatVanishedSaysNothing(t *testing.T) {
 	f, n := open(t, "", nil)
 	a := dial(t, f)
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -211,11 +211,14 @@
 				f.at(in.At, func() { f.mistake(s, piernotch.Gone) })
 				f.at(in.End(), func() { f.mistake(s, piernotch.Ready) })
 			case "join":
-				f.joins(number, n+1000*(in.Number+1), step(n))
+				f.joins(number, n+1000*(in.Number+1), step(n), false)
 			case "replace":
 				f.at(step(n), func() { f.drain(s) })
 				f.at(step(n)+in.Ramp, func() { f.end(s) })
-				f.joins(number, n+1000*(in.Number+1), step(n))
+				f.joins(number, n+1000*(in.Number+1), step(n), false)
+			case "takeover":
+				f.at(step(n), func() { f.end(s) })
+				f.joins(number, n+1000*(in.Number+1), step(n)+in.Ramp, true)
 			case "restart":
 				f.at(step(n), func() { f.drain(s) })
 				f.at(step(n)+in.Ramp, func() { f.end(s) })
@@ -275,12 +278,24 @@
 	f.roster.later(s.number, piernotch.Ready, f.day.Discovery.Add)
 }
 
-func (f *Fleet) joins(like, number int, at time.Duration) {
+// joins plans a new machine like another one; with takeover at that one's address.
+func (f *Fleet) joins(like, number int, at time.Duration, takeover bool) {
 	s, err := f.add(f.day.Like(like, number))
 	if err != nil {
 		f.failed(fmt.Errorf("a server that joins: %w", err))
 		return
 	}
 	s.phys.Crash(0)
-	f.at(at, func() { f.start(s) })
+	f.at(at, func() {
+		if takeover {
+			old := f.servers[like]
+			old.mu.Lock()
+			address := old.address
+			old.mu.Unlock()
+			s.mu.Lock()
+			s.address = address
+			s.mu.Unlock()
+		}
+		f.start(s)
+	})
 }
--- a/internal/model/troubles.go
+++ b/internal/model/troubles.go
@@ -45,6 +45,12 @@
 				w.at(at+in.Ramp, func() { w.endServer(s) })
 				w.joins(s, n+1000*(in.Number+1), at)
 			}
+		case "takeover":
+			for n, s := range in.Servers {
+				at := step(n, len(in.Servers))
+				w.at(at, func() { w.endServer(s) })
+				w.joins(s, n+1000*(in.Number+1), at+in.Ramp)
+			}
 		case "restart":
 			for n, s := range in.Servers {
 				at := step(n, len(in.Servers))
--- a/internal/rehearse/drills.go
+++ b/internal/rehearse/drills.go
@@ -42,6 +42,8 @@
 		{"server-crash", "an eighth of the servers crash, back cold after 3 s", trouble("crash", "for_s = 3\npart = 0.125\n")},
 		{"server-vanish", "an eighth of the servers fall silent for 12 s", trouble("vanish", "for_s = 12\npart = 0.125\n")},
 		{"server-replace", "a quarter of the servers are replaced over 8 s", trouble("replace", "for_s = 8\npart = 0.25\nramp_s = 3\n")},
+		{"server-takeover", "a quarter of the servers crash and new ones come up at their addresses",
+			trouble("takeover", "for_s = 4\npart = 0.25\nramp_s = 1\n")},
 		{"zone-crash", "all servers of a zone crash, back cold after 8 s", trouble("crash", "for_s = 8\npart = 1\nzone = \"adama\"\n")},
 		{"choke-half", "half of the servers are choked", trouble("choke", "part = 0.5\n")},
 		{"discovery-down", "discovery is down for 30 s", trouble("discovery_outage", "for_s = 30\n")},
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -27,6 +27,7 @@
 	"leave":            "part of the servers drain and go over for_s; traffic stays",
 	"join":             "new servers, part of the fleet's number, start over for_s",
 	"replace":          "part of the servers are replaced by new ones under new ids over for_s",
+	"takeover":         "part of the servers crash over for_s, and after ramp_s new ones under new ids come up at their addresses",
 	"restart":          "part of the servers drain, end and start again, cold, over for_s",
 	"crash":            "part of the servers crash at once and start again, cold, after for_s",
 	"vanish":           "part of the servers fall silent, and start again, cold, after for_s",
