--- a/internal/rehearse/judge.go
+++ b/internal/rehearse/judge.go
@@ -29,6 +29,7 @@
 	last  uint64
 	ids   map[string]*seen
 	ended []ending // to be forgotten in time
+	dying map[int]bool
 }
 
 type seen struct {
@@ -53,7 +54,7 @@
 	for _, c := range day.Classes {
 		fig.Classes = append(fig.Classes, c.Class)
 	}
-	return &Judge{clock: clock, audit: audit.New(fig), ids: map[string]*seen{}}
+	return &Judge{clock: clock, audit: audit.New(fig), ids: map[string]*seen{}, dying: map[int]bool{}}
 }
 
 // Taken implements load.Observer.
@@ -91,17 +92,23 @@
 	case load.Failed:
 		j.audit.Answered(now, s.seq, audit.Failed)
 	case load.Broken:
+		if j.dying[s.balancer] {
+			j.audit.Excused(now, s.seq)
+			return
+		}
 		j.audit.Dropped(now, s.seq)
 	default:
 		j.audit.Excused(now, s.seq)
 	}
 }
 
-// Killed excuses all that a balancer holds: its process is about to be killed.
+// Killed excuses all that a balancer holds, and what it is given until it is Restarted:
+// its process is about to be killed.
 func (j *Judge) Killed(balancer int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.clock()
+	j.dying[balancer] = true
 	for id, s := range j.ids {
 		if s.balancer == balancer && s.done == 0 {
 			s.done = now
@@ -115,6 +122,7 @@
 func (j *Judge) Restarted(balancer int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	delete(j.dying, balancer)
 	j.audit.Restarted(balancer)
 }
 
