Keep the calendar's heap in order: compare a node's own four children only

Cause: the bound of the search for the least child moved with the least, so that children of the next node were compared, too, and events came after later ones. The test takes and plans 100,000 events among 3,000 and fails without the change; the older test, with fewer, did not see it.

--- a/internal/model/calendar.go
+++ b/internal/model/calendar.go
@@ -89,11 +89,12 @@
 	}
 	i := 0
 	for {
-		least := 4*i + 1
-		if least >= n {
+		first := 4*i + 1
+		if first >= n {
 			break
 		}
-		for j := least + 1; j < min(least+4, n); j++ {
+		least := first
+		for j := first + 1; j < min(first+4, n); j++ {
 			if c.heap[j].before(&c.heap[least]) {
 				least = j
 			}
--- a/internal/model/ties_test.go
+++ b/internal/model/ties_test.go
@@ -12,6 +12,23 @@
 	"piernotch/internal/scenario"
 )
 
+// What is taken is always the first of what is there, also while more is planned.
+func TestTheCalendarNeverGoesBack(t *testing.T) {
+	var c calendar
+	rng := rand.New(rand.NewPCG(2, 2))
+	now := time.Duration(0)
+	for range 3000 {
+		c.plan(time.Duration(rng.IntN(1000000)), atMessage, evScript, 0, 0)
+	}
+	for range 100000 {
+		e, ok := c.take()
+		require.True(t, ok)
+		require.GreaterOrEqual(t, e.at, now)
+		now = e.at
+		c.plan(now+time.Duration(rng.IntN(1000000)), atMessage, evScript, 0, 0)
+	}
+}
+
 func TestTheCalendarKeepsTheOrderOfTimeThenKindThenPlanning(t *testing.T) {
 	var c calendar
 	rng := rand.New(rand.NewPCG(1, 1))
