--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -106,17 +106,6 @@
 	return n
 }
 
-// Spent is the work that all servers did, ms.
-func (f *Fleet) Spent() float64 {
-	sum := 0.0
-	for _, s := range f.servers {
-		s.mu.Lock()
-		sum += s.phys.Spent()
-		s.mu.Unlock()
-	}
-	return sum
-}
-
 // Err is the first thing that the stand-ins could not do.
 func (f *Fleet) Err() error {
 	f.mu.Lock()
@@ -159,81 +148,54 @@
 
 func (f *Fleet) at(t time.Duration, do func()) { f.script = append(f.script, step{t, do}) }
 
-// restartTakes is how long a server's process is away in a restart.
-const restartTakes = 500 * time.Millisecond
-
 // plays writes the script: what the model does to its servers, done to these.
 func (f *Fleet) plays() {
-	first := f.servers
-	for i := range f.day.Troubles {
-		in := &f.day.Troubles[i]
-		step := func(n int) time.Duration {
-			return in.At + in.For*time.Duration(n)/time.Duration(max(len(in.Servers), 1))
-		}
-		switch in.Kind {
-		case "report_late":
-			late := int64(in.Size * float64(time.Second))
-			f.at(in.At, func() { f.late.Add(late) })
-			f.at(in.End(), func() { f.late.Add(-late) })
-		case "spoil":
-			share := int64(in.Part * 1e6)
-			f.at(in.At, func() { f.spoils.Add(share) })
-			f.at(in.End(), func() { f.spoils.Add(-share) })
-		case "discovery_outage":
-			f.at(in.At, func() { f.roster.outage(true) })
-			f.at(in.End(), func() { f.roster.outage(false) })
-		case "discovery_late":
-			late := int64(in.Size * float64(time.Second))
-			f.at(in.At, func() { f.roster.late.Add(late) })
-			f.at(in.End(), func() { f.roster.late.Add(-late) })
-		}
-		for n, number := range in.Servers {
-			s := first[number]
-			switch in.Kind {
-			case "slow":
-				f.at(in.At, func() { f.slow(s, in.Size) })
-				f.at(in.End(), func() { f.slow(s, 1/in.Size) })
-			case "pauses":
-				length := time.Duration(in.Size * float64(time.Millisecond))
-				f.at(in.At, func() { s.do(func(p *fleet.Server, now time.Duration) { p.SetPauses(now, in.Every, length) }) })
-				f.at(in.End(), func() { s.do(func(p *fleet.Server, now time.Duration) { p.SetPauses(now, 0, 0) }) })
-			case "shrink", "leave":
-				f.at(step(n), func() { f.drain(s) })
-				f.at(step(n)+in.Ramp, func() { f.end(s) })
-			case "choke":
-				f.at(in.At, func() {
-					s.do(func(p *fleet.Server, now time.Duration) { p.SetChoked(now) })
-					s.mu.Lock()
-					s.choked = true
-					s.mu.Unlock()
-				})
-			case "list_loss":
-				f.at(in.At, func() { f.mistake(s, piernotch.Gone) })
-				f.at(in.End(), func() { f.mistake(s, piernotch.Ready) })
-			case "join":
-				f.joins(number, n+1000*(in.Number+1), step(n), false)
-			case "replace":
-				f.at(step(n), func() { f.drain(s) })
-				f.at(step(n)+in.Ramp, func() { f.end(s) })
-				f.joins(number, n+1000*(in.Number+1), step(n), false)
-			case "takeover":
-				f.at(step(n), func() { f.end(s) })
-				f.joins(number, n+1000*(in.Number+1), step(n)+in.Ramp, true)
-			case "restart":
-				f.at(step(n), func() { f.drain(s) })
-				f.at(step(n)+in.Ramp, func() { f.end(s) })
-				f.at(step(n)+in.Ramp+restartTakes, func() { f.start(s) })
-			case "crash":
-				f.at(in.At, func() { f.end(s) })
-				f.at(in.End(), func() { f.start(s) })
-			case "vanish":
-				f.at(in.At, func() {
-					s.vanish()
-					f.roster.later(s.number, piernotch.Gone, f.day.Discovery.Silent)
-				})
-				f.at(in.End(), func() { f.start(s) })
-			}
+	for _, s := range f.day.Steps() {
+		if s.Do == scenario.Join || s.Do == scenario.Takeover {
+			f.joins(s.Server, s.Number, s.At, s.Do == scenario.Takeover)
+			continue
 		}
+		f.at(s.At, func() { f.step(&s) })
+	}
+}
+
+// step does one thing to servers or roster.
+func (f *Fleet) step(s *scenario.Step) {
+	var at *server
+	if s.Server < len(f.servers) { // what is done to discovery alone names none
+		at = f.servers[s.Server]
+	}
+	switch s.Do {
+	case scenario.Slow:
+		f.slow(at, s.Size)
+	case scenario.Pauses:
+		at.do(func(p *fleet.Server, now time.Duration) { p.SetPauses(now, s.Every, s.Length) })
+	case scenario.Choke:
+		at.do(func(p *fleet.Server, now time.Duration) {
+			p.SetChoked(now)
+			at.choked = true
+		})
+	case scenario.Drain:
+		f.drain(at)
+	case scenario.End:
+		f.end(at)
+	case scenario.Start:
+		f.start(at)
+	case scenario.Vanish:
+		at.vanish()
+		f.roster.later(at.number, piernotch.Gone, f.day.Discovery.Silent)
+	case scenario.Lose:
+		f.mistake(s.Servers, piernotch.Gone)
+	case scenario.Regain:
+		f.mistake(s.Servers, piernotch.Ready)
+	case scenario.ReportsLater:
+		f.late.Add(int64(s.Length))
+	case scenario.ListLater:
+		f.roster.late.Add(int64(s.Length))
+	case scenario.Spoil:
+		f.spoils.Add(int64(s.Size * 1e6))
+	case scenario.OutageBegins, scenario.OutageEnds:
+		f.roster.outage(s.Do == scenario.OutageBegins)
 	}
 }
 
@@ -255,13 +217,16 @@
 	}
 }
 
-// mistake lists a server as gone that is not, or as ready again.
-func (f *Fleet) mistake(s *server, state piernotch.State) {
-	s.mu.Lock()
-	up, born := s.phys.Life() == fleet.Up, s.phys.Started()
-	s.mu.Unlock()
-	if up {
-		f.roster.publish(s.number, state, born)
+// mistake lists servers as gone that are not, or as ready again.
+func (f *Fleet) mistake(servers []int, state piernotch.State) {
+	for _, n := range servers {
+		s := f.servers[n]
+		s.mu.Lock()
+		up, born := s.phys.Life() == fleet.Up, s.phys.Started()
+		s.mu.Unlock()
+		if up {
+			f.roster.publish(n, state, born)
+		}
 	}
 }
 
--- a/internal/model/troubles.go
+++ b/internal/model/troubles.go
@@ -5,113 +5,75 @@
 
 	"piernotch"
 	"piernotch/internal/fleet"
+	"piernotch/internal/scenario"
 )
 
 // plays writes the day's troubles into the script.
 func (w *World) plays() {
+	for _, s := range w.day.Steps() {
+		if s.Do == scenario.Join || s.Do == scenario.Takeover { // the machine is there from the beginning
+			w.joins(s.Server, s.Number, s.At)
+			continue
+		}
+		w.at(s.At, func() { w.step(&s) })
+	}
 	for i := range w.day.Troubles {
 		in := &w.day.Troubles[i]
-		// The n-th of many goes when its share of the time is over.
-		step := func(n, of int) time.Duration { return in.At + in.For*time.Duration(n)/time.Duration(max(of, 1)) }
-		switch in.Kind {
-		case "slow":
-			for _, s := range in.Servers {
-				w.at(in.At, func() { w.slow(s, in.Size) })
-				w.at(in.End(), func() { w.slow(s, 1/in.Size) })
-			}
-		case "pauses":
-			for _, s := range in.Servers {
-				length := time.Duration(in.Size * float64(time.Millisecond))
-				w.at(in.At, func() { w.servers[s].SetPauses(w.now, in.Every, length); w.schedule(s) })
-				w.at(in.End(), func() { w.servers[s].SetPauses(w.now, 0, 0); w.schedule(s) })
-			}
-		case "report_late":
-			late := time.Duration(in.Size * float64(time.Second))
-			w.at(in.At, func() { w.late += late })
-			w.at(in.End(), func() { w.late -= late })
-		case "shrink", "leave":
-			for n, s := range in.Servers {
-				w.at(step(n, len(in.Servers)), func() { w.drain(s) })
-				w.at(step(n, len(in.Servers))+in.Ramp, func() { w.endServer(s) })
-			}
-		case "join":
-			for n, like := range in.Servers {
-				w.joins(like, n+1000*(in.Number+1), step(n, len(in.Servers)))
-			}
-		case "replace":
-			for n, s := range in.Servers {
-				at := step(n, len(in.Servers))
-				w.at(at, func() { w.drain(s) })
-				w.at(at+in.Ramp, func() { w.endServer(s) })
-				w.joins(s, n+1000*(in.Number+1), at)
-			}
-		case "takeover":
-			for n, s := range in.Servers {
-				at := step(n, len(in.Servers))
-				w.at(at, func() { w.endServer(s) })
-				w.joins(s, n+1000*(in.Number+1), at+in.Ramp)
-			}
-		case "restart":
-			for n, s := range in.Servers {
-				at := step(n, len(in.Servers))
-				w.at(at, func() { w.drain(s) })
-				w.at(at+in.Ramp, func() { w.endServer(s) })
-				w.at(at+in.Ramp+restartTakes, func() { w.startServer(s) })
-			}
-		case "crash":
-			for _, s := range in.Servers {
-				w.at(in.At, func() { w.endServer(s) })
-				w.at(in.End(), func() { w.startServer(s) })
-			}
-		case "vanish":
-			for _, s := range in.Servers {
-				w.at(in.At, func() { w.vanish(s) })
-				w.at(in.End(), func() { w.startServer(s) })
-			}
-		case "balancer_crash":
-			for _, b := range in.Balancers {
+		if in.Kind == "roster_move" { // to the balancers it is an outage that is over at once
+			w.at(in.At, func() { w.disc.outage(w, true) })
+			w.at(in.At+time.Millisecond, func() { w.disc.outage(w, false) })
+		}
+		for n, b := range in.Balancers {
+			switch in.Kind {
+			case "balancer_crash":
 				w.at(in.At, func() { w.killInstance(b) })
 				w.at(in.At+w.day.Front, func() { w.admit(b, w.insts[b].up) })
 				w.at(in.End(), func() { w.startInstance(b, false) })
-			}
-		case "balancer_restart":
-			for n, b := range in.Balancers {
+			case "balancer_restart":
 				// The front knows of it, and what is held is answered first.
 				at := in.At + in.Every*time.Duration(n)
 				w.at(at, func() { w.admit(b, false) })
 				w.at(at+w.longest(), func() { w.killInstance(b) })
 				w.at(at+w.longest()+in.For, func() { w.startInstance(b, false) })
 			}
-		case "spoil": // the request has run; what comes back is of no use
-			w.at(in.At, func() { w.spoilt += in.Part })
-			w.at(in.End(), func() { w.spoilt -= in.Part })
-		case "choke":
-			for _, s := range in.Servers {
-				w.at(in.At, func() {
-					w.servers[s].SetChoked(w.now)
-					w.servers[s].choked = true
-					w.schedule(s)
-				})
-			}
-		case "list_loss":
-			w.at(in.At, func() { w.disc.mistake(w, in.Servers, piernotch.Gone) })
-			w.at(in.End(), func() { w.disc.mistake(w, in.Servers, piernotch.Ready) })
-		case "roster_move": // to the balancers it is an outage that is over at once
-			w.at(in.At, func() { w.disc.outage(w, true) })
-			w.at(in.At+time.Millisecond, func() { w.disc.outage(w, false) })
-		case "discovery_outage":
-			w.at(in.At, func() { w.disc.outage(w, true) })
-			w.at(in.End(), func() { w.disc.outage(w, false) })
-		case "discovery_late":
-			late := time.Duration(in.Size * float64(time.Second))
-			w.at(in.At, func() { w.disc.late += late })
-			w.at(in.End(), func() { w.disc.late -= late })
 		}
 	}
 }
 
-// restartTakes is how long a server's process is away in a restart.
-const restartTakes = 500 * time.Millisecond
+// step does one thing to servers or discovery.
+func (w *World) step(s *scenario.Step) {
+	switch s.Do {
+	case scenario.Slow:
+		w.slow(s.Server, s.Size)
+	case scenario.Pauses:
+		w.servers[s.Server].SetPauses(w.now, s.Every, s.Length)
+		w.schedule(s.Server)
+	case scenario.Choke:
+		w.servers[s.Server].SetChoked(w.now)
+		w.servers[s.Server].choked = true
+		w.schedule(s.Server)
+	case scenario.Drain:
+		w.drain(s.Server)
+	case scenario.End:
+		w.endServer(s.Server)
+	case scenario.Start:
+		w.startServer(s.Server)
+	case scenario.Vanish:
+		w.vanish(s.Server)
+	case scenario.Lose:
+		w.disc.mistake(w, s.Servers, piernotch.Gone)
+	case scenario.Regain:
+		w.disc.mistake(w, s.Servers, piernotch.Ready)
+	case scenario.ReportsLater:
+		w.late += s.Length
+	case scenario.ListLater:
+		w.disc.late += s.Length
+	case scenario.Spoil: // the request has run; what comes back is of no use
+		w.spoilt += s.Size
+	case scenario.OutageBegins, scenario.OutageEnds:
+		w.disc.outage(w, s.Do == scenario.OutageBegins)
+	}
+}
 
 // longest is how long a balancer may hold a request.
 func (w *World) longest() time.Duration {
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -39,7 +39,6 @@
 	tries     int     // so far
 	most      int     // that it would make
 	impatient float64
-	last      uint64 // its present try
 }
 
 // try is one message of a client: what a balancer calls a request.
@@ -58,7 +57,6 @@
 	answer   audit.Answer
 	lost     bool // the balancer died under it
 	advice   time.Duration
-	sent     time.Duration
 	deadline time.Duration
 	shots    [mostShots]uint64
 }
@@ -79,7 +77,6 @@
 	ended   bool // for its balancer
 	holds   bool // the server has it
 	coming  bool // its outcome is on the way
-	started bool
 	hasLoad bool
 	delay   time.Duration // one way
 	sent    time.Duration
@@ -121,14 +118,13 @@
 
 type machine struct {
 	*fleet.Server
-	spec     scenario.Server
-	id       piernotch.BackendID
-	wake     time.Duration // when it is looked at next
-	open     int           // connections
-	slow     float64
-	choked   bool // it was, at some time
-	truth    int  // notices of it so far
-	draining bool
+	spec   scenario.Server
+	id     piernotch.BackendID
+	wake   time.Duration // when it is looked at next
+	open   int           // connections
+	slow   float64
+	choked bool // it was, at some time
+	truth  int  // notices of it so far
 }
 
 // World is one day being played.
@@ -257,6 +253,7 @@
 	ofSpread
 	ofClient
 	ofSpoil
+	ofLeave = ofFront + 100
 )
 
 // dice returns the random numbers of one concern of a key. They are good until the
@@ -453,12 +450,11 @@
 	id := w.lastTry
 	n := a.tries
 	a.tries++
-	a.last = id
 	c := &w.day.Classes[a.class]
 	wait := time.Duration(float64(c.Deadline) * w.day.Clients.TryShare).Round(time.Microsecond)
 	key := mix(a.key + uint64(n))
 	t := w.tries.Put(id)
-	*t = try{ask: askID, n: int8(min(n, 100)), sent: w.now, deadline: min(w.now+wait, a.until)}
+	*t = try{ask: askID, n: int8(min(n, 100)), deadline: min(w.now+wait, a.until)}
 	w.meter.Tries++
 	inst := w.choose(a.zone, key)
 	delay := w.delay(w.day.Client, key, ofClient)
@@ -471,7 +467,7 @@
 	w.cal.plan(w.now+delay, atArrival, evClient, id, 0)
 	w.cal.plan(t.deadline, atTimeout, evGiveUp, id, 0)
 	if a.impatient < w.day.Clients.Impatient {
-		part := w.dice(key, ofFront+100).Float64()
+		part := w.dice(key, ofLeave).Float64()
 		w.cal.plan(w.now+time.Duration(part*float64(t.deadline-w.now)), atTimeout, evLeave, id, 0)
 	}
 }
@@ -859,7 +855,7 @@
 			continue
 		}
 		w.meter.exit(w, a)
-		a.holds, a.started, a.spent = false, d.Started, d.Spent
+		a.holds, a.spent = false, d.Spent
 		if d.Started {
 			w.audit.Ran(w.now, a.try, int(a.n))
 		}
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -82,7 +82,7 @@
 }
 
 // start begins the process and waits until it is ready.
-func (p *process) start(ctx context.Context, sockets int) error {
+func (p *process) start(ctx context.Context) error {
 	log, err := os.OpenFile(filepath.Join(p.dir, fmt.Sprintf("n%d.log", p.number)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -138,7 +138,7 @@
 		return err
 	}
 	r.judge.Restarted(p.number)
-	if err := p.start(ctx, r.limits.Sockets); err != nil {
+	if err := p.start(ctx); err != nil {
 		return err
 	}
 	p.mu.Lock()
