Believe load reports: bound what all balancers hold, share out cold servers by them

At fault: balancer.go load() and pick() knew only own requests; coldGap() went by warmRate(), which is what this balancer sends and falls with the fleet; learn() measured Full as a slow answer; foreign() let three balancers of any number spill to a server.

Change: X-Load and the simulator's reports reach the module as Reported; crowded() passes over what holds too much for all, trusted for about a second; a cold server's share goes by what warm ones answer; Full strikes; a tenth of the balancers may spill to one server. A report that cannot be read, is negative or lies changes nothing and is logged once in 10 s.

--- a/balancer.go
+++ b/balancer.go
@@ -21,7 +21,14 @@
 	budgetShare   = 0.15     // retries and hedges, as a share of requests
 	controlGain   = 1.0 / 4  // change of shedding in one shortest aim while all is late
 	fit           = 0.9      // an answer is expected within this share of the time left
-	spillers      = 3.0      // proxies of other zones that spill to one backend
+	spillers      = 3.0      // proxies of other zones that spill to one backend, or
+	spillShare    = 0.1      // such a share of all, if that is more
+	crowdedAt     = 6.0      // a backend that holds so many for each level of depth has no room
+	crowdedBeyond = 10.0      // and so many where nothing else has any
+	crowdedKey    = 8.0      // and so many for a request whose key it may know
+	coldSpeed     = 2.0      // a cold backend may get so many times its share: a fall is a little further
+	coldGrowth    = 2.0      // and so many times what it last answered, if it held next to nothing
+	idleHolds     = 1.5      // requests, which are next to nothing
 	wayAnswers    = 64       // answers that tell how long the way to a zone is
 	wayShare      = 0.75     // the most of what is out that counts as on its way
 	spurned       = 0.3      // a class that fails so often where others do not keeps away
@@ -66,8 +73,10 @@
 	bandOf     []int  // class*2 (+1 beyond quota) -> index into bands
 	quota      []bucket
 
-	paths  map[int]*path // by zone
-	levels []level       // where a request goes, tried in turn
+	paths    map[int]*path // by zone
+	spillers float64       // proxies of other zones that may spill to one backend
+	usual    float64       // most answers a second of a warm backend of size 1 of late; 0: not known
+	levels   []level       // where a request goes, tried in turn
 
 	watching bool // a subscription is asked for or stands
 	watchAt  time.Duration
@@ -82,7 +91,7 @@
 	b := &Balancer{
 		set: s, host: host, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		backends: map[BackendID]*backend{}, byID: map[RequestID]*request{}, paths: map[int]*path{},
-		shortAim: s.Classes[0].Aim, largeShare: 0.5,
+		shortAim: s.Classes[0].Aim, largeShare: 0.5, spillers: max(spillers, spillShare*float64(s.Proxies)),
 	}
 	for _, c := range s.Classes {
 		b.shortAim = min(b.shortAim, c.Aim)
@@ -192,28 +201,6 @@
 	return !b.quota[tenant].take(now, b.set.Tenants[tenant].QuotaPerSec/float64(b.set.Proxies))
 }
 
-// observe learns what arrives: the median hint, and the work on each side of it
-// and in each band.
-func (b *Balancer) observe(r *request) {
-	if r.hinted() {
-		b.hints++
-		step := 1 + max(1/b.hints, smoothing/2)
-		switch {
-		case b.hints == 1:
-			b.median, b.meanWork = r.Hint, r.Hint
-		case r.Hint > b.median:
-			b.median *= step
-		default:
-			b.median /= step
-		}
-		gain := max(1/b.hints, smoothing/8)
-		b.meanWork += gain * (r.Hint - b.meanWork)
-		b.largeShare += gain * (r.Hint / b.meanWork) * (share(r.lane == 1) - b.largeShare)
-		b.largeShare = min(max(b.largeShare, 0), 1)
-	}
-	b.bands[r.band].work += r.work
-}
-
 // dispatch sends r to a backend, or leaves it waiting for room.
 func (b *Balancer) dispatch(now time.Duration, r *request) bool {
 	if b.dirty {
@@ -238,8 +225,8 @@
 	var best *backend
 	for _, level := range b.levels[1:] {
 		for _, to := range b.groups[level.away].members {
-			if b.load(to) >= level.depth || b.foreign(to) || b.spurns(now, r, to) ||
-				r.tried(to) || !b.may(now, r, to) {
+			if b.load(to) >= level.depth || b.crowded(now, to, crowdedBeyond) || b.foreign(to) ||
+				b.spurns(now, r, to) || r.tried(to) || !b.may(now, r, to) {
 				continue
 			}
 			if best == nil || b.expected(r, to) < b.expected(r, best) {
@@ -327,7 +314,7 @@
 		to := members[g.next[lane]]
 		to.credit = min(to.credit+g.laneWeight(lane, g.next[lane])/g.most[lane], 1)
 		if i >= len(members) && fallback == nil || b.load(to) >= depth || b.foreign(to) ||
-			!b.fits(now, r, to) || !b.may(now, r, to) || r.tried(to) {
+			b.crowded(now, to, crowdedAt*depth) || !b.fits(now, r, to) || !b.may(now, r, to) || r.tried(to) {
 			continue
 		}
 		if to.credit < 1 {
@@ -345,7 +332,7 @@
 // foreign tells whether a backend elsewhere is left to the spill of other proxies:
 // the bounds of all of them together must not crowd it.
 func (b *Balancer) foreign(to *backend) bool {
-	return to.away == 1 && len(b.groups[0].members) > 0 && to.rank*float64(b.set.Proxies-1) > spillers
+	return to.away == 1 && len(b.groups[0].members) > 0 && to.rank*float64(b.set.Proxies-1) > b.spillers
 }
 
 // keyTurn is the turn of a request whose key makes it cheap where it was lately
@@ -365,7 +352,7 @@
 	if b.load(best) >= depth || b.foreign(best) || best.latency > 2*g.latency || r.tried(best) {
 		return nil
 	}
-	if !b.fits(now, r, best) || !b.may(now, r, best) {
+	if b.crowded(now, best, crowdedKey) || !b.fits(now, r, best) || !b.may(now, r, best) {
 		return nil
 	}
 	return best
@@ -482,41 +469,21 @@
 	return r.aim
 }
 
-// warmth is the share of its capacity that a backend can be counted on for.
-func (b *Balancer) warmth(now time.Duration, to *backend) float64 {
-	if to.coldSince < 0 || b.set.Rules.Cold <= 0 {
-		return 1
-	}
-	age := float64(now-to.coldSince) / float64(b.set.Rules.Cold)
-	return b.set.Rules.ColdFrom + (1-b.set.Rules.ColdFrom)*min(max(age, 0), 1)
-}
-
 // coldGap is the time in which a cold backend's share of what this proxy sends
 // amounts to a mean request: what a warm one of its size gets, times its warmth.
 // Such a share is safe whatever the other proxies do, if they do the same. Only
 // light hints go there, and those are too low as often as not: hence the mean.
 func (b *Balancer) coldGap(now time.Duration, to *backend) time.Duration {
-	perSec := b.warmRate(now) * b.warmth(now, to) * to.Size
+	perSec := coldSpeed * max(b.warmRate(now), b.usual*b.meanWork/b.mates(to)) * b.warmth(now, to) * to.Size
+	if to.crowd.at > 0 && to.crowd.others < idleHolds {
+		perSec = max(perSec, coldGrowth*to.crowd.last*b.meanWork/b.mates(to))
+	}
 	if perSec <= 0 {
 		return 0
 	}
 	return time.Duration(min(b.meanWork/perSec, b.set.Rules.Cold.Seconds()) * float64(time.Second))
 }
 
-// warmRate is the work a second that this proxy sends a warm backend of size 1
-// (what arrives is a multiple of any capacity, by clients' retries). A few left warm
-// in a zone may be drowning: they count as half of it. If all is cold, the mean counts.
-func (b *Balancer) warmRate(now time.Duration) float64 {
-	most := 0.0
-	for i := range b.groups {
-		g := &b.groups[i]
-		if g.whole > 0 {
-			most = max(most, g.sent.perSec(now)/max(g.warm, g.whole/2))
-		}
-	}
-	return max(most, b.sent.perSec(now)/max(b.groups[0].whole+b.groups[1].whole, 1))
-}
-
 // Outcome takes the end of an attempt.
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
 	b.begin(now)
@@ -587,8 +554,11 @@
 	case o.Status == OK:
 		b.measure(now, r, to, o.Latency)
 		b.restore(now, to)
-	case o.Status == Full: // as bad as a wait until the aim
-		b.measure(now, r, to, r.class.Aim)
+	case o.Status == Full:
+		// It says nothing of how long others take: one that turns all away at once must
+		// neither draw requests by being idle nor pass for a fleet that is late.
+		b.strike(now, to, 3)
+		b.crowdedOut(now, to)
 	case o.Status == ConnectFailed, o.Status == Error, o.Status == Reset:
 		to.down += share(o.Status == ConnectFailed)
 		b.strike(now, to, 3) // a backend that lives has one now and then
@@ -630,6 +600,13 @@
 	}
 }
 
+// crowdedOut counts an answer that was turned away as a late one.
+func (b *Balancer) crowdedOut(now time.Duration, to *backend) {
+	pace := min((now-b.controlled).Seconds()/b.shortAim.Seconds()*controlGain, smoothing)
+	b.controlled = now
+	b.control(pace, to.away, 1)
+}
+
 // balanceLanes moves the split point towards equal lateness in both lanes: hints are rough.
 func (b *Balancer) balanceLanes(pace float64, lane int, late float64) {
 	b.laneLate[lane] += smoothing * (late - b.laneLate[lane])
@@ -859,6 +836,7 @@
 		}
 	}
 	b.regroup(now)
+	b.followUsual()
 	for i := range b.groups {
 		if g := &b.groups[i]; now-g.heard > b.shortAim*sweepsPerAim { // nobody is looking
 			g.late -= g.late / (sweepsPerAim * sweepsPerAim)
@@ -886,13 +864,14 @@
 // large lane's share of the weight matches its share of the work. The backend at
 // the split point serves both, each with a part of its weight.
 func (g *group) weigh(b *Balancer, now time.Duration) {
-	g.weight, g.warm = 0, 0
+	g.weight, g.warm, g.held = 0, 0, 0
 	for _, to := range g.members {
 		to.weight = to.Size * b.warmth(now, to)
 		if to.latency > 0 && g.latency > 0 {
 			to.weight *= min(max(g.latency/to.latency, 1.0/8), 2)
 		}
 		g.weight += to.weight
+		g.held += to.crowd.mean / float64(len(g.members))
 		if to.coldSince < 0 {
 			g.warm += to.Size
 		}
@@ -995,3 +974,16 @@
 	b.watching = true
 	b.host.Watch()
 }
+
+// Reported takes a backend's load report.
+func (b *Balancer) Reported(now time.Duration, id BackendID, load Load) {
+	if to := b.backends[id]; to != nil && load.Inflight >= 0 && load.PerSec >= 0 {
+		to.crowd.hear(now, load, to.inflight)
+	}
+}
+
+// crowded tells whether all proxies together have so many requests at a backend. What one
+// proxy has there is no bound on that, once there are many: it takes the backend's word.
+func (b *Balancer) crowded(now time.Duration, to *backend, most float64) bool {
+	return to.crowd.now(now, min(to.crowd.mean, b.groups[to.away].held))+float64(to.inflight) >= most
+}
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -55,6 +55,7 @@
 
 type adapter struct {
 	instances map[uint32]*piernotch.Balancer
+	columns   []string // of load reports; the same for all instances
 	reply     wire.Reply
 	event     wire.Event
 	entries   []piernotch.Entry
@@ -92,6 +93,10 @@
 		a.reply.Fault(e.Instance, err.Error())
 		return
 	}
+	if a.columns, err = wire.Columns(e.Data); err != nil {
+		a.reply.Fault(e.Instance, err.Error())
+		return
+	}
 	b, err := piernotch.New(settings, e.Seed, &host{inst: e.Instance, reply: &a.reply})
 	if err != nil {
 		a.reply.Fault(e.Instance, err.Error())
@@ -102,6 +107,9 @@
 
 func (a *adapter) dispatch(b *piernotch.Balancer, now time.Duration) error {
 	e := &a.event
+	if load, ok := wire.Report(e, a.columns); ok {
+		b.Reported(now, piernotch.BackendID(e.Backend), load)
+	}
 	switch e.Code {
 	case wire.Demand:
 		b.Request(now, demand(e))
--- /dev/null
+++ b/crowd_test.go
@@ -0,0 +1,106 @@
+package piernotch
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// manyProxies is a settings of which each proxy has seen nothing but what it sent itself.
+func manyProxies() Settings {
+	s := settings()
+	s.Proxies = 80
+	return s
+}
+
+// TestACrowdedBackendIsPassedOver: eighty proxies each hold a little at one backend, and it
+// says so. Without its word it gets its turn.
+func TestACrowdedBackendIsPassedOver(t *testing.T) {
+	b, h := start(t, manyProxies(), fleet(4, 1))
+	b.Reported(time.Second, 2, Load{Inflight: 15, PerSec: 20})
+	for i := range 40 {
+		b.Request(time.Second, ask(RequestID(i), safeClass, 10))
+		require.NotEqual(t, BackendID(2), h.last().to, "request %d went into the crowd", i)
+		end(b, time.Second, RequestID(i), 0, h.last().to, OK)
+	}
+	seen := map[BackendID]bool{}
+	for i := range 40 { // the report is old by now and is not believed for good
+		id, now := RequestID(100+i), 8*time.Second
+		b.Request(now, Request{ID: id, Class: safeClass, Deadline: now + time.Second, Hint: 10})
+		seen[h.last().to] = true
+		end(b, now, id, 0, h.last().to, OK)
+	}
+	require.True(t, seen[2], "a report of seven seconds ago still keeps a backend out")
+}
+
+// TestNonsenseInReportsChangesNothing: what lies or cannot be read leaves the last belief.
+func TestNonsenseInReportsChangesNothing(t *testing.T) {
+	b, _ := start(t, manyProxies(), fleet(2, 1))
+	b.Reported(time.Second, 1, Load{Inflight: 3, PerSec: 20})
+	was := b.backends[1].crowd
+	for _, l := range []Load{{Inflight: -1}, {Inflight: math.NaN()}, {Inflight: 1, PerSec: -1}} {
+		b.Reported(2*time.Second, 1, l)
+	}
+	b.Reported(2*time.Second, 77, Load{Inflight: 3})
+	require.Equal(t, was, b.backends[1].crowd)
+}
+
+// TestOneThatTurnsAllAwayIsEjected: it is idle by what is held there, answers at once, and
+// so drew turn after turn; its refusals also passed for a fleet that is late.
+func TestOneThatTurnsAllAwayIsEjected(t *testing.T) {
+	b, h := start(t, manyProxies(), fleet(6, 1))
+	b.budget = 100
+	drawn := 0
+	for i := range 200 {
+		now := time.Second + time.Duration(i)*ms
+		b.Request(now, ask(RequestID(i), safeClass, 10))
+		try := 0
+		if h.last().to == 1 {
+			drawn++
+			end(b, now, RequestID(i), 0, 1, Full)
+			try++
+		}
+		end(b, now, RequestID(i), try, h.last().to, OK)
+	}
+	require.LessOrEqual(t, drawn, 3)
+	require.Less(t, b.pace, 3.0, "a refusal passed for a slow answer")
+	require.Empty(t, h.refused)
+}
+
+// TestAColdBackendGetsItsShareThoughAFewAreLeft: a zone is lost and comes back cold. What
+// this proxy sends a second fell with the fleet; what warm ones answered for all did not.
+func TestAColdBackendGetsItsShareThoughAFewAreLeft(t *testing.T) {
+	gap := func(report bool) time.Duration {
+		b, _ := start(t, manyProxies(), fleet(4, 2))
+		if report {
+			for id := range BackendID(8) {
+				b.Reported(time.Second, id+1, Load{Inflight: 2, PerSec: 30})
+			}
+		}
+		b.survey(time.Second)
+		b.meanWork = 25
+		b.sent.add(time.Second, 100)
+		to := b.backends[1]
+		b.chill(2*time.Second, to, 2*time.Second)
+		return b.coldGap(2*time.Second, to)
+	}
+	// 30 a second, twice a fifth of them, for 40 proxies of the zone.
+	require.InDelta(t, 40/(30*0.2*2), gap(true).Seconds(), 0.1)
+	require.Greater(t, gap(false), gap(true))
+}
+
+// TestAColdBackendThatHoldsNothingGetsMore: it warms with work, sooner than is promised.
+func TestAColdBackendThatHoldsNothingGetsMore(t *testing.T) {
+	b, _ := start(t, manyProxies(), fleet(2, 1))
+	b.meanWork = 25
+	b.sent.add(time.Second, 50)
+	to := b.backends[1]
+	b.chill(time.Second, to, time.Second)
+	slow := b.coldGap(time.Second, to)
+	b.Reported(time.Second, 1, Load{Inflight: 9, PerSec: 200})
+	require.Equal(t, slow, b.coldGap(time.Second, to), "it holds a queue: no more")
+	b.Reported(time.Second, 1, Load{Inflight: 0, PerSec: 200})
+	require.Less(t, b.coldGap(time.Second, to), slow)
+}
--- a/estimate.go
+++ b/estimate.go
@@ -84,3 +84,48 @@
 	}
 	return was + min(gain, 0.5)*(ms/work-was)
 }
+
+// observe learns what arrives: the median hint, and the work on each side of it
+// and in each band.
+func (b *Balancer) observe(r *request) {
+	if r.hinted() {
+		b.hints++
+		step := 1 + max(1/b.hints, smoothing/2)
+		switch {
+		case b.hints == 1:
+			b.median, b.meanWork = r.Hint, r.Hint
+		case r.Hint > b.median:
+			b.median *= step
+		default:
+			b.median /= step
+		}
+		gain := max(1/b.hints, smoothing/8)
+		b.meanWork += gain * (r.Hint - b.meanWork)
+		b.largeShare += gain * (r.Hint / b.meanWork) * (share(r.lane == 1) - b.largeShare)
+		b.largeShare = min(max(b.largeShare, 0), 1)
+	}
+	b.bands[r.band].work += r.work
+}
+
+// warmth is the share of its capacity that a backend can be counted on for.
+func (b *Balancer) warmth(now time.Duration, to *backend) float64 {
+	if to.coldSince < 0 || b.set.Rules.Cold <= 0 {
+		return 1
+	}
+	age := float64(now-to.coldSince) / float64(b.set.Rules.Cold)
+	return b.set.Rules.ColdFrom + (1-b.set.Rules.ColdFrom)*min(max(age, 0), 1)
+}
+
+// warmRate is the work a second that this proxy sends a warm backend of size 1
+// (what arrives is a multiple of any capacity, by clients' retries). A few left warm
+// in a zone may be drowning: they count as half of it. If all is cold, the mean counts.
+func (b *Balancer) warmRate(now time.Duration) float64 {
+	most := 0.0
+	for i := range b.groups {
+		g := &b.groups[i]
+		if g.whole > 0 {
+			most = max(most, g.sent.perSec(now)/max(g.warm, g.whole/2))
+		}
+	}
+	return max(most, b.sent.perSec(now)/max(b.groups[0].whole+b.groups[1].whole, 1))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,11 @@
 		Backend piernotch.BackendID
 		Status  piernotch.Status
 	}
+	// Reported is a feed server's account of its load, which came with an answer.
+	Reported struct {
+		Backend piernotch.BackendID
+		Load    piernotch.Load
+	}
 	// Members is word of the feed servers, or of discovery's failure.
 	Members struct {
 		Kind    piernotch.ListKind
@@ -81,6 +86,7 @@
 func (Connected) event()  {}
 func (Ended) event()      {}
 func (Probed) event()     {}
+func (Reported) event()   {}
 func (Members) event()    {}
 func (Ticked) event()     {}
 func (Moved) event()      {}
@@ -285,6 +291,8 @@
 			delete(c.probes, ev.Backend)
 			c.balancer.Probed(c.now, ev.Backend, ev.Status)
 		}
+	case Reported:
+		c.balancer.Reported(c.now, ev.Backend, ev.Load)
 	case Members:
 		c.members(ev)
 	case Ticked:
--- a/internal/model/tier.go
+++ b/internal/model/tier.go
@@ -122,6 +122,13 @@
 		if b == nil {
 			continue
 		}
+		if e.HasLoad {
+			id := e.Backend
+			if e.Kind == Verdict {
+				id = e.Outcome.Backend
+			}
+			b.Reported(now, id, piernotch.Load{Inflight: e.Load.Inflight, PerSec: e.Load.PerSec})
+		}
 		switch e.Kind {
 		case Stop:
 			p.instances[e.Instance] = nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -127,7 +127,8 @@
 	pools   map[core.Place]*pool
 	errands map[core.Ref]*errand
 	probes  map[*errand]struct{}
-	Opened  int // connections opened so far, for the log
+	Opened  int           // connections opened so far, for the log
+	saidBad time.Duration // when a load report was last called bad; 0: never
 }
 
 // New returns empty pools. Idle connections are closed well before keepAlive,
@@ -423,6 +424,7 @@
 		m.Fields.Get("x-not-run") == "1":
 		status = piernotch.Full
 	}
+	u.reported(c.pool.to, m.Fields.Get("x-load"))
 	if x.probe {
 		u.emit(core.Probed{Backend: x.pool.to.Backend, Status: status})
 		return
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -49,6 +49,9 @@
 	Specifics struct {
 		WarmKeys bool `json:"warm_keys"`
 	} `json:"specifics"`
+	Report struct {
+		Columns []string `json:"columns"`
+	} `json:"report"`
 	OverShareWorth float64 `json:"over_share_worth"`
 }
 
@@ -105,6 +108,33 @@
 	return s, nil
 }
 
+// Columns reads the names of the values that a load report holds, in their order.
+func Columns(data []byte) ([]string, error) {
+	var in settingsJSON
+	if err := json.Unmarshal(data, &in); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return in.Report.Columns, nil
+}
+
+// Report translates the load report of a Verdict or a PingResult; ok is false if there is
+// none, or if it makes no sense.
+func Report(e *Event, columns []string) (load piernotch.Load, ok bool) {
+	for i, name := range columns[:min(len(columns), e.LoadN)] {
+		v := e.Load[i]
+		if !(v >= 0) || math.IsInf(v, 0) {
+			return piernotch.Load{}, false
+		}
+		switch name {
+		case "inflight":
+			load.Inflight, ok = v, true
+		case "qps":
+			load.PerSec = v
+		}
+	}
+	return load, ok
+}
+
 // Duration turns the wire's milliseconds into a Duration, to the microsecond
 // that the wire counts in.
 func Duration(ms float64) time.Duration {
--- a/piernotch.go
+++ b/piernotch.go
@@ -161,6 +161,13 @@
 	Closed  bool // the request has its final answer
 }
 
+// Load is a backend's own account of its load. It is some time old when it comes, and
+// counts what all proxies sent.
+type Load struct {
+	Inflight float64 // requests that it holds
+	PerSec   float64 // requests that it answers a second; 0: not said
+}
+
 // Host carries out a Balancer's decisions, in the order of the calls.
 type Host interface {
 	// Send starts the next attempt of a request. The attempt ends with an
--- a/state.go
+++ b/state.go
@@ -30,6 +30,7 @@
 	wait    float64       // mean time beyond the work itself, ms
 	dev     float64       // its mean deviation
 	latency float64       // mean latency of an average request, ms
+	held    float64       // mean of what others have at its members
 }
 
 // path is the way to a zone.
@@ -60,6 +61,7 @@
 	down      float64         // connects that failed since its last answer of use
 	ejected   int             // ejections in a row; 0: ready
 	retryAt   time.Duration   // an ejected backend may have one trial from here on
+	crowd     crowd           // what others have here
 	trial     bool            // that trial is out
 	probing   bool            // a probe is out
 	probed    bool            // it has answered one since its ejection
