Limit what each balancer has in a group, steered by what its servers hold for all

The servers are choked, and stay so.

At fault: pick() and load() bound what one balancer has at one server (one or two); with 12 to 30 balancers a zone that is a queue of 12 to 30, and nothing bounds the sum.

Change: steer() moves a limit on what the balancer has at a group's warm servers by the mean that they hold for all, to 1.5 a server; may() refuses more. Cold servers do not count in either. Up to four balancers a zone there is no limit.

--- a/balancer.go
+++ b/balancer.go
@@ -24,8 +24,11 @@
 	spillers      = 3.0      // proxies of other zones that spill to one backend, or
 	spillShare    = 0.1      // such a share of all, if that is more
 	crowdedAt     = 6.0      // a backend that holds so many for each level of depth has no room
-	crowdedBeyond = 10.0      // and so many where nothing else has any
+	crowdedBeyond = 10.0     // and so many where nothing else has any
 	crowdedKey    = 8.0      // and so many for a request whose key it may know
+	heldAim       = 1.5      // what a backend should hold, on the mean of its group
+	steerTime     = 0.35     // seconds in which the limit on a group changes by e at the most
+	ownBounds     = 4.0      // so many proxies in a zone need no limit but those on their own
 	coldSpeed     = 2.0      // a cold backend may get so many times its share: a fall is a little further
 	coldGrowth    = 2.0      // and so many times what it last answered, if it held next to nothing
 	idleHolds     = 1.5      // requests, which are next to nothing
@@ -97,6 +100,7 @@
 		b.shortAim = min(b.shortAim, c.Aim)
 	}
 	for i := range b.groups { // proxies that start together must not walk the fleet in step
+		b.groups[i].limit = math.Inf(1)
 		b.groups[i].next = [2]int{b.rng.IntN(math.MaxInt32), b.rng.IntN(math.MaxInt32)}
 	}
 	b.levels = []level{{0, 1}, {0, 2}, {1, 1}}
@@ -237,16 +241,6 @@
 	return best
 }
 
-// expected is how long the backend will take for the request after what this
-// proxy has there already, ms.
-func (b *Balancer) expected(r *request, to *backend) float64 {
-	pace := to.pace
-	if pace == 0 {
-		pace = b.pace
-	}
-	return (to.backlog + r.work) * pace
-}
-
 // spurns tells whether the backend answers other classes but leaves this one
 // without, but for a request now and then that tries it again.
 func (b *Balancer) spurns(now time.Duration, r *request, to *backend) bool {
@@ -275,19 +269,6 @@
 	depth float64
 }
 
-// load is how many of this proxy's requests the backend has in hand. The rest are
-// on their way there or back: where that takes long, a bound on all that are out
-// would leave it idle. The way to a zone is its quickest answer's time less a light
-// request, and never rises: a jam must not pass for a long way. Most of a request
-// on its way makes no room for another.
-func (b *Balancer) load(to *backend) float64 {
-	way := to.path.quickest - b.meanWork/4
-	if to.path.answers < wayAnswers || way <= b.meanWork/4 || to.latency <= 0 {
-		return float64(to.inflight)
-	}
-	return float64(to.inflight)*(1-min(way/to.latency, wayShare)) + 0.25
-}
-
 // pick takes the next backend of the request's lane, or else of the other lane.
 func (b *Balancer) pick(now time.Duration, r *request, g *group, depth float64) *backend {
 	if len(g.members) == 0 {
@@ -398,7 +379,7 @@
 		return false
 	}
 	if to.coldSince < 0 {
-		return true
+		return !b.groups[to.away].full()
 	}
 	// A cold backend is paced by itself, whatever the state of the others. Many
 	// proxies at once sending it one heavy request each would push it over, and so
@@ -447,6 +428,8 @@
 
 func (b *Balancer) send(now time.Duration, r *request, to *backend) {
 	to.inflight++
+	warm := to.coldSince < 0
+	b.groups[to.away].out += int(share(warm))
 	to.backlog += r.work
 	to.sent[r.Class] = now
 	b.sent.add(now, r.work)
@@ -456,7 +439,7 @@
 		to.coldNext = max(to.coldNext, now) + b.coldGap(now, to)
 	}
 	to.trial = to.trial || to.ejected > 0
-	r.tries = append(r.tries, attempt{to: to, sent: now})
+	r.tries = append(r.tries, attempt{to: to, sent: now, warm: warm})
 	r.out++
 	b.host.Send(r.ID, to.ID, b.lastMoment(r)-now)
 }
@@ -495,6 +478,7 @@
 	t.ended, t.status = true, o.Status
 	r.out--
 	t.to.inflight--
+	b.groups[t.to.away].out -= int(share(t.warm))
 	t.to.backlog = max(t.to.backlog-r.work, 0)
 	b.learn(now, r, t, o)
 	defer b.admit(now)
@@ -671,15 +655,6 @@
 	b.dirty = true
 }
 
-// silence is how long an answer may take before it counts as missing.
-func (b *Balancer) silence(g *group, work float64) time.Duration {
-	ms := 2*work + g.wait + deviations*g.dev
-	if g.latency == 0 {
-		ms = 2*work + float64(b.shortAim)/float64(time.Millisecond)
-	}
-	return time.Duration(ms * float64(time.Millisecond))
-}
-
 // finish gives the final answer: refused where that is true, else failed.
 func (b *Balancer) finish(r *request) {
 	switch {
@@ -838,6 +813,7 @@
 	b.regroup(now)
 	b.followUsual()
 	for i := range b.groups {
+		b.steer(now, &b.groups[i])
 		if g := &b.groups[i]; now-g.heard > b.shortAim*sweepsPerAim { // nobody is looking
 			g.late -= g.late / (sweepsPerAim * sweepsPerAim)
 		}
@@ -987,3 +963,21 @@
 func (b *Balancer) crowded(now time.Duration, to *backend, most float64) bool {
 	return to.crowd.now(now, min(to.crowd.mean, b.groups[to.away].held))+float64(to.inflight) >= most
 }
+
+// steer moves the limit on what this proxy has in a group towards what lets a backend
+// there hold the aim. If all proxies do so, all together reach it, however many they are:
+// none needs to know that. A mean over a group is worth more than a single old report.
+func (b *Balancer) steer(now time.Duration, g *group) {
+	dt := b.sweep.Seconds()
+	g.peak = max(float64(g.out), g.peak*math.Exp(-dt))
+	held, known := g.holds(now)
+	if !known || float64(b.set.Proxies) <= ownBounds*float64(len(b.set.Zones)) {
+		g.limit = math.Inf(1)
+		return
+	}
+	turn := min(max(math.Log(heldAim/max(held, heldAim/8)), -1), 1)
+	g.limit = max(min(g.limit, 2*g.peak+heldAim)*math.Exp(turn*dt/steerTime), 1)
+}
+
+// full tells whether this proxy has as much at the group's warm backends as it may.
+func (g *group) full() bool { return float64(g.out) >= g.limit }
--- a/crowd.go
+++ b/crowd.go
@@ -8,8 +8,9 @@
 // What a proxy makes of backends' load reports: what all the others send.
 
 const (
-	reportWeight = 1.0 / 4 // of one report in a running mean
-	reportAge    = 1.0     // seconds after which a report counts for 1/e of what it did
+	reportWeight = 1.0 / 4         // of one report in a running mean
+	reportAge    = 1.0             // seconds after which a report counts for 1/e of what it did
+	reportLasts  = 3 * time.Second // and this long for the mean of a group
 	usualKeep    = 1 - 1.0/4096
 )
 
@@ -64,3 +65,16 @@
 		b.usual = max(b.usual, rate/size)
 	}
 }
+
+// holds is what a warm member of the group holds on the mean, for all proxies, going by
+// those that have lately said; known is false if none has.
+func (g *group) holds(now time.Duration) (held float64, known bool) {
+	said := 0.0
+	for _, to := range g.members {
+		if to.coldSince < 0 && to.crowd.at > 0 && now-to.crowd.at < reportLasts {
+			held += to.crowd.now(now, to.crowd.mean) + float64(to.inflight)
+			said++
+		}
+	}
+	return held / max(said, 1), said > 0
+}
--- a/crowd_test.go
+++ b/crowd_test.go
@@ -104,3 +104,36 @@
 	b.Reported(time.Second, 1, Load{Inflight: 0, PerSec: 200})
 	require.Less(t, b.coldGap(time.Second, to), slow)
 }
+
+// sweepWith lets the sweep run for a while, with some requests out in the own zone and each
+// backend there saying now and then that it holds so many.
+func sweepWith(t *testing.T, s Settings, held float64) (*Balancer, *recorder) {
+	b, h := start(t, s, fleet(6, 2))
+	b.sweep = 10 * ms
+	now := time.Second
+	for i := range 2 + int(2*held) {
+		b.Request(now, Request{ID: RequestID(1 + i), Class: safeClass, Deadline: time.Minute, Hint: 10})
+	}
+	for i := range 300 {
+		now += b.sweep
+		for id := BackendID(1); i%50 == 0 && id <= 6; id++ {
+			b.Reported(now, id, Load{Inflight: held, PerSec: 20})
+		}
+		b.survey(now)
+	}
+	return b, h
+}
+
+// TestAllTogetherHoldAGroupToItsAim: each of eighty keeps its own bounds and a fleet chokes
+// all the same. What its servers hold on the mean tells each to give way by as much.
+func TestAllTogetherHoldAGroupToItsAim(t *testing.T) {
+	b, h := sweepWith(t, manyProxies(), 5)
+	require.True(t, b.groups[0].full(), "limit %v", b.groups[0].limit)
+	b.Request(4*time.Second, Request{ID: 100, Class: safeClass, Deadline: time.Minute, Hint: 10})
+	require.Greater(t, h.last().to, BackendID(6), "a full zone counts as empty")
+
+	b, _ = sweepWith(t, manyProxies(), 0.1)
+	require.False(t, b.groups[0].full(), "idle servers: limit %v", b.groups[0].limit)
+	b, _ = sweepWith(t, settings(), 5)
+	require.False(t, b.groups[0].full(), "few proxies: their own bounds do")
+}
--- a/estimate.go
+++ b/estimate.go
@@ -129,3 +129,35 @@
 	}
 	return max(most, b.sent.perSec(now)/max(b.groups[0].whole+b.groups[1].whole, 1))
 }
+
+// expected is how long the backend will take for the request after what this
+// proxy has there already, ms.
+func (b *Balancer) expected(r *request, to *backend) float64 {
+	pace := to.pace
+	if pace == 0 {
+		pace = b.pace
+	}
+	return (to.backlog + r.work) * pace
+}
+
+// silence is how long an answer may take before it counts as missing.
+func (b *Balancer) silence(g *group, work float64) time.Duration {
+	ms := 2*work + g.wait + deviations*g.dev
+	if g.latency == 0 {
+		ms = 2*work + float64(b.shortAim)/float64(time.Millisecond)
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// load is how many of this proxy's requests the backend has in hand. The rest are
+// on their way there or back: where that takes long, a bound on all that are out
+// would leave it idle. The way to a zone is its quickest answer's time less a light
+// request, and never rises: a jam must not pass for a long way. Most of a request
+// on its way makes no room for another.
+func (b *Balancer) load(to *backend) float64 {
+	way := to.path.quickest - b.meanWork/4
+	if to.path.answers < wayAnswers || way <= b.meanWork/4 || to.latency <= 0 {
+		return float64(to.inflight)
+	}
+	return float64(to.inflight)*(1-min(way/to.latency, wayShare)) + 0.25
+}
--- a/state.go
+++ b/state.go
@@ -30,6 +30,9 @@
 	wait    float64       // mean time beyond the work itself, ms
 	dev     float64       // its mean deviation
 	latency float64       // mean latency of an average request, ms
+	out     int           // this proxy's attempts at its warm members
+	limit   float64       // on that
+	peak    float64       // the most there was of it lately, decaying
 	held    float64       // mean of what others have at its members
 }
 
@@ -70,6 +73,7 @@
 type attempt struct {
 	to     *backend
 	sent   time.Duration
+	warm   bool // its backend was, then
 	ended  bool
 	status Status
 }
