--- a/balancer.go
+++ b/balancer.go
@@ -29,7 +29,7 @@
 	heldAim       = 1.5      // what a backend should hold, on the mean of its group
 	steerTime     = 0.35     // seconds in which the limit on a group changes by e at the most
 	ownBounds     = 4.0      // so many proxies in a zone need no limit but those on their own
-	coldSpeed     = 2.0      // a cold backend may get so many times its share: a fall is a little further
+	coldSpeed     = 3.0      // a cold backend may get so many times its share: a fall is a little further
 	coldGrowth    = 2.0      // and so many times what it last answered, if it held next to nothing
 	idleHolds     = 1.5      // requests, which are next to nothing
 	wayAnswers    = 64       // answers that tell how long the way to a zone is
