--- a/balancer.go
+++ b/balancer.go
@@ -428,12 +428,12 @@
 
 func (b *Balancer) send(now time.Duration, r *request, to *backend) {
 	to.inflight++
-	warm := to.coldSince < 0
-	b.groups[to.away].out += int(share(warm))
 	to.backlog += r.work
 	to.sent[r.Class] = now
 	b.sent.add(now, r.work)
-	if to.coldSince < 0 {
+	warm := to.coldSince < 0
+	if warm {
+		b.groups[to.away].out++
 		b.groups[to.away].sent.add(now, r.work)
 	} else {
 		to.coldNext = max(to.coldNext, now) + b.coldGap(now, to)
@@ -452,10 +452,10 @@
 	return r.aim
 }
 
-// coldGap is the time in which a cold backend's share of what this proxy sends
-// amounts to a mean request: what a warm one of its size gets, times its warmth.
-// Such a share is safe whatever the other proxies do, if they do the same. Only
-// light hints go there, and those are too low as often as not: hence the mean.
+// coldGap is the time in which this proxy's share of a cold backend amounts to a mean
+// request. A warm one of its size tells the share, by what this proxy sends it or by what
+// it answers for all, times the cold one's warmth. Only light hints go there, and those
+// are too low as often as not: hence the mean.
 func (b *Balancer) coldGap(now time.Duration, to *backend) time.Duration {
 	perSec := coldSpeed * max(b.warmRate(now), b.usual*b.meanWork/b.mates(to)) * b.warmth(now, to) * to.Size
 	if to.crowd.at > 0 && to.crowd.others < idleHolds {
@@ -478,7 +478,9 @@
 	t.ended, t.status = true, o.Status
 	r.out--
 	t.to.inflight--
-	b.groups[t.to.away].out -= int(share(t.warm))
+	if t.warm {
+		b.groups[t.to.away].out--
+	}
 	t.to.backlog = max(t.to.backlog-r.work, 0)
 	b.learn(now, r, t, o)
 	defer b.admit(now)
@@ -542,7 +544,7 @@
 		// It says nothing of how long others take: one that turns all away at once must
 		// neither draw requests by being idle nor pass for a fleet that is late.
 		b.strike(now, to, 3)
-		b.crowdedOut(now, to)
+		b.control(b.controlPace(now), to.away, 1)
 	case o.Status == ConnectFailed, o.Status == Error, o.Status == Reset:
 		to.down += share(o.Status == ConnectFailed)
 		b.strike(now, to, 3) // a backend that lives has one now and then
@@ -573,22 +575,20 @@
 	g.latency += smoothing * (typical - g.latency)
 	g.dev += smoothing * (math.Abs(wait-g.wait) - g.dev)
 	g.wait += smoothing * (wait - g.wait)
-	// Control goes by time, in aims, not by answers: what it changes is seen a wait
-	// later, and a busy proxy would swing from end to end before that. A quiet one
-	// still needs some answers to tell chance from trouble.
-	pace := min((now-b.controlled).Seconds()/b.shortAim.Seconds()*controlGain, smoothing)
-	b.controlled = now
+	pace := b.controlPace(now)
 	b.balanceLanes(pace, r.lane, share(wait > aim/2))
 	if r.work < aim/4 { // a heavy request is late on an idle server, too
 		b.control(pace, to.away, share(took > r.class.Aim/2))
 	}
 }
 
-// crowdedOut counts an answer that was turned away as a late one.
-func (b *Balancer) crowdedOut(now time.Duration, to *backend) {
+// controlPace is how far control may move on one answer. It goes by time, in aims, not
+// by answers: what it changes is seen a wait later, and a busy proxy would swing from end
+// to end before that. A quiet one still needs some answers to tell chance from trouble.
+func (b *Balancer) controlPace(now time.Duration) float64 {
 	pace := min((now-b.controlled).Seconds()/b.shortAim.Seconds()*controlGain, smoothing)
 	b.controlled = now
-	b.control(pace, to.away, 1)
+	return pace
 }
 
 // balanceLanes moves the split point towards equal lateness in both lanes: hints are rough.
--- a/crowd.go
+++ b/crowd.go
@@ -11,7 +11,7 @@
 	reportWeight = 1.0 / 4         // of one report in a running mean
 	reportAge    = 1.0             // seconds after which a report counts for 1/e of what it did
 	reportLasts  = 3 * time.Second // and this long for the mean of a group
-	usualKeep    = 1 - 1.0/4096
+	usualKeep    = 1 - 1.0/4096    // of what is usual, from one survey to the next
 )
 
 // crowd is what others have at a backend, by its reports.
--- a/internal/upstream/report.go
+++ b/internal/upstream/report.go
@@ -3,13 +3,14 @@
 import (
 	"fmt"
 	"log/slog"
-	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"piernotch"
 	"piernotch/internal/core"
+	"piernotch/internal/wire"
 )
 
 // sayEvery is the least time between two lines about reports that cannot be used.
@@ -18,22 +19,16 @@
 // report reads a load report, as name=value,… with any names, each at most once and
 // inflight among them. Values are finite and not negative.
 func report(text string) (load piernotch.Load, err error) {
-	seen := map[string]bool{}
+	seen := make([]string, 0, 4) // on the stack: every answer brings one
 	for part := range strings.SplitSeq(text, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
 		v, bad := strconv.ParseFloat(value, 64)
-		if !ok || bad != nil || !(v >= 0) || math.IsInf(v, 0) || seen[name] {
+		if !ok || bad != nil || slices.Contains(seen, name) || !wire.SetLoad(&load, name, v) {
 			return piernotch.Load{}, fmt.Errorf("%q", part)
 		}
-		seen[name] = true
-		switch name {
-		case "inflight":
-			load.Inflight = v
-		case "qps":
-			load.PerSec = v
-		}
+		seen = append(seen, name)
 	}
-	if !seen["inflight"] {
+	if !slices.Contains(seen, wire.Inflight) {
 		return piernotch.Load{}, fmt.Errorf("no inflight in %q", text)
 	}
 	return load, nil
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -267,11 +267,7 @@
 		MachineTypes []string `json:"machine_types"`
 		WorthBy      string   `json:"worth_by"`
 		Weights      string   `json:"weights"`
-		Report       struct {
-			Columns []string `json:"columns"`
-			How     string   `json:"how"`
-		} `json:"report"`
-		Limits struct {
+		Limits       struct {
 			MostTries       int     `json:"most_tries"`
 			SecondCopies    bool    `json:"second_copies"`
 			Cancelling      bool    `json:"cancelling"`
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -51,6 +51,7 @@
 	} `json:"specifics"`
 	Report struct {
 		Columns []string `json:"columns"`
+		How     string   `json:"how"`
 	} `json:"report"`
 	OverShareWorth float64 `json:"over_share_worth"`
 }
@@ -121,20 +122,29 @@
 // none, or if it makes no sense.
 func Report(e *Event, columns []string) (load piernotch.Load, ok bool) {
 	for i, name := range columns[:min(len(columns), e.LoadN)] {
-		v := e.Load[i]
-		if !(v >= 0) || math.IsInf(v, 0) {
+		if !SetLoad(&load, name, e.Load[i]) {
 			return piernotch.Load{}, false
 		}
-		switch name {
-		case "inflight":
-			load.Inflight, ok = v, true
-		case "qps":
-			load.PerSec = v
-		}
+		ok = ok || name == Inflight
 	}
 	return load, ok
 }
 
+// Inflight is the value that no load report is of use without.
+const Inflight = "inflight"
+
+// SetLoad takes one named value of a load report; names that nobody needs are passed over.
+// It returns false for a value that cannot be: negative, infinite or no number.
+func SetLoad(load *piernotch.Load, name string, v float64) bool {
+	switch name {
+	case Inflight:
+		load.Inflight = v
+	case "qps":
+		load.PerSec = v
+	}
+	return v >= 0 && !math.IsInf(v, 0)
+}
+
 // Duration turns the wire's milliseconds into a Duration, to the microsecond
 // that the wire counts in.
 func Duration(ms float64) time.Duration {
