--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -35,6 +35,7 @@
 	Plot     plotCmd     `cmd:"" help:"Draw a result (.svg, .png) or make a report of it (.html)."`
 	Scenario scenarioCmd `cmd:"" help:"List, show and check scenarios."`
 	Trace    traceCmd    `cmd:"" help:"Look at recorded traffic."`
+	Logs     logsCmd     `cmd:"" help:"Count over the logs of many balancers, or follow a request through them."`
 }
 
 const about = `The laboratory of piernotch: a fleet of feed servers, its clients and any number of
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -92,6 +92,10 @@
 		Listen:    pick("ROUTER_LISTEN", in.Listen),
 		Discovery: pick("ROUTER_DISCOVERY", in.Discovery),
 		MemoryMB:  in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
+		Log: logs.Options{Level: getenv("PIERNOTCH_LOG")}, // the platform's file has no place for it
+	}
+	if err := c.Log.Check(); err != nil {
+		return c, fmt.Errorf("PIERNOTCH_LOG: %w", err)
 	}
 	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		host, _, err := net.SplitHostPort(a.value)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 package core
 
 import (
+	"context"
 	"hash/fnv"
 	"log/slog"
 	"time"
@@ -161,6 +162,10 @@
 	Rejected // never taken: the id is that of another open request
 )
 
+var verdicts = [...]string{"served", "refused", "failed", "rejected"}
+
+func (v Verdict) String() string { return verdicts[v] }
+
 // LameDuck is how long after a Terminate new work is still taken: clients hear
 // of the end only some time later.
 const LameDuck = 700 * time.Millisecond
@@ -215,6 +220,7 @@
 	probes    map[piernotch.BackendID]*wheel.Timer
 	ending    bool
 	closed    bool // no longer listening
+	debug     bool // each request is told in the log
 	Counts    Counts
 }
 
@@ -237,6 +243,7 @@
 		return nil, err
 	}
 	c.balancer = b
+	c.debug = slog.Default().Enabled(context.Background(), slog.LevelDebug)
 	return c, nil
 }
 
@@ -275,6 +282,9 @@
 	case ClientGone:
 		if r := c.clients[ev.Client]; r != nil {
 			c.Counts.Gone++
+			if c.debug {
+				slog.Debug("client gone", "id", r.name, "attempts", len(r.tries), "left_ms", (r.deadline - c.now).Milliseconds())
+			}
 			c.over(r)
 			c.balancer.ClientGone(c.now, r.id)
 			c.forget(r)
@@ -292,6 +302,9 @@
 			c.balancer.Probed(c.now, ev.Backend, ev.Status)
 		}
 	case Reported:
+		if b := c.backends[ev.Backend]; c.debug && b != nil {
+			slog.Debug("report", "server", b.name, "inflight", ev.Load.Inflight, "per_s", ev.Load.PerSec)
+		}
 		c.balancer.Reported(c.now, ev.Backend, ev.Load)
 	case Members:
 		c.members(ev)
@@ -326,6 +339,9 @@
 	c.Counts.Taken++
 	r := &request{id: c.lastID, name: ev.ID, client: ev.Client, message: ev.Message, deadline: ev.Deadline, last: piernotch.Moot}
 	c.requests[r.id], c.clients[r.client] = r, r
+	if c.debug {
+		slog.Debug("request", "id", r.name, "class", ev.Class, "hint", ev.Hint, "wait_ms", (ev.Deadline - c.now).Milliseconds())
+	}
 	// The module's own time-outs end at the deadline; this comes a tick later, for
 	// whatever it has left unanswered even so.
 	r.overdue = c.wheel.At(ev.Deadline+2*Tick, func() { c.overrun(r) })
@@ -368,6 +384,9 @@
 		c.Counts.Failed++
 	}
 	reply.Client, reply.Close = r.client, c.ending
+	if c.debug {
+		slog.Debug("answer", "id", r.name, "verdict", reply.Verdict, "attempts", len(r.tries), "left_ms", (r.deadline - c.now).Milliseconds())
+	}
 	c.do(reply)
 	c.over(r)
 }
@@ -411,6 +430,10 @@
 	a.ended = true
 	a.timer.Stop()
 	r.out--
+	if c.debug {
+		slog.Debug("attempt ended", "id", r.name, "attempt", n, "server", a.to.name, "status", status, "written", a.written,
+			"ms", (c.now - a.sent).Milliseconds())
+	}
 	c.count(status)
 	if status != piernotch.Cancelled {
 		r.last = status
@@ -518,6 +541,9 @@
 		wait = min(wait, timeout)
 	}
 	ref := Ref{id, n}
+	if c.debug {
+		slog.Debug("send", "id", r.name, "attempt", n, "server", b.name, "wait_ms", wait.Milliseconds())
+	}
 	a.timer = c.wheel.At(c.now+wait, func() {
 		if a.ended {
 			return
@@ -578,6 +604,13 @@
 
 func (h host) Watch() { h.c.do(Watch{}) }
 
+// Mood is a line for the log, at level debug, of what the module believes.
+func (c *Core) Mood() {
+	if c.debug {
+		slog.Debug("mood", "module", c.balancer.String())
+	}
+}
+
 func (h host) SetTimer(d time.Duration, token uint32) {
 	h.c.wheel.At(h.c.now+d, func() { h.c.balancer.Timer(h.c.now, token) })
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -13,14 +13,18 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// DefaultLines is how many lines are written a second at the most.
-const DefaultLines = 200
+// DefaultLines is how many lines are written a second at the most; at level debug
+// DebugLines, for a request followed by its id must not end half-way.
+const (
+	DefaultLines = 200
+	DebugLines   = 20000
+)
 
 // Options says how the log looks. Zero values are the defaults.
 type Options struct {
 	Format string `toml:"format"`      // text (key=value) or json; text
 	Level  string `toml:"level"`       // debug, info, warn or error; info
-	Lines  int    `toml:"lines_per_s"` // lines a second, errors apart; DefaultLines
+	Lines  int    `toml:"lines_per_s"` // lines a second, errors apart; DefaultLines, or DebugLines
 }
 
 var levels = map[string]zapcore.Level{
@@ -67,6 +71,9 @@
 	}
 	if o.Lines == 0 {
 		o.Lines = DefaultLines
+		if o.Level == "debug" {
+			o.Lines = DebugLines
+		}
 	}
 	core := zapcore.NewCore(encoder, out, levels[o.Level])
 	quiet := slog.Level(100) // stacks are attributes of their own here
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	head     int // how many of the queue have been taken
 	busy     bool
 	summary  time.Duration
+	mood     time.Duration // when what the module believes was last told
 	shed     time.Duration // when it was last logged that descriptors are short
 	exit     context.CancelFunc
 	recorder *recorder     // nil: nothing is recorded
@@ -140,6 +141,10 @@
 		}
 		n.summary = now
 	}
+	if now := n.now(); now-n.mood >= time.Second {
+		n.mood = now
+		n.core.Mood()
+	}
 }
 
 // settle is how long the sockets get, once nothing is owed, for requests that
--- a/piernotch.go
+++ b/piernotch.go
@@ -146,6 +146,10 @@
 	Moot
 )
 
+var statuses = [...]string{"ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"}
+
+func (s Status) String() string { return statuses[s] }
+
 // NeverRan tells whether the status proves that the backend did nothing.
 func (s Status) NeverRan() bool {
 	return s == Full || s == ConnectFailed || s == Moot
--- a/state.go
+++ b/state.go
@@ -1,6 +1,7 @@
 package piernotch
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -130,3 +131,19 @@
 		b.groups[i].whole = max(b.groups[i].whole, size[i])
 	}
 }
+
+// String tells what the proxy believes, for a log.
+func (b *Balancer) String() string {
+	text := fmt.Sprintf("open=%d shed=%.2f pace=%.2f budget=%.1f median=%.1f mean=%.1f usual=%.1f",
+		len(b.open), b.shed, b.pace, b.budget, b.median, b.meanWork, b.usual)
+	for i := range b.groups {
+		g := &b.groups[i]
+		cold := 0
+		for _, to := range g.members {
+			cold += int(share(to.coldSince >= 0))
+		}
+		text += fmt.Sprintf(" | members=%d cold=%d out=%d limit=%.1f held=%.1f late=%.2f wait=%.0f latency=%.0f",
+			len(g.members), cold, g.out, g.limit, g.held, g.late, g.wait, g.latency)
+	}
+	return text
+}
