--- a/balancer.go
+++ b/balancer.go
@@ -1,6 +1,6 @@
 // The decision module. The interface it implements and uses (Settings, events,
-// Host) is in piernotch.go, the records it keeps in state.go, running rates in
-// estimate.go. It reads in the order of a request's life: set-up, arrival, choosing
+// Host) is in piernotch.go, the records it keeps, its own included, in state.go, running
+// rates in estimate.go. It reads in the order of a request's life: set-up, arrival, choosing
 // a backend, the guard and the send, outcomes, health, the sweep, and the list.
 
 package piernotch
@@ -42,50 +42,6 @@
 
 const sweepToken = 1
 
-// Balancer decides for one proxy. Its methods must not be called concurrently.
-type Balancer struct {
-	set      Settings
-	host     Host
-	rng      *rand.Rand
-	started  bool
-	sweep    time.Duration // time between sweeps
-	sweeps   int
-	shortAim time.Duration
-
-	backends map[BackendID]*backend
-	sorted   []*backend // by id, all that are not gone
-	groups   [2]group   // own zone, other zones
-	dirty    bool       // the groups no longer match the list and the ejections
-
-	open   []*request // every request that is owed an answer or has attempts out
-	byID   map[RequestID]*request
-	spare  []*request
-	budget float64
-
-	median     float64 // running median of the hints
-	hints      float64 // how many hints it has seen
-	meanWork   float64
-	pace       float64    // time an answer takes for each unit of its work, waiting included
-	largeShare float64    // share of the work that is above the median, by the hints
-	tilt       float64    // what lateness in the lanes adds to it
-	sent       rate       // work sent a second
-	laneLate   [2]float64 // share of late answers in each lane
-	shed       float64    // share of the work, least worth first, that is refused
-	controlled time.Duration
-	bands      []band // classes within and beyond quota, least worth first
-	bandOf     []int  // class*2 (+1 beyond quota) -> index into bands
-	quota      []bucket
-
-	paths    map[int]*path // by zone
-	spillers float64       // proxies of other zones that may spill to one backend
-	usual    float64       // most answers a second of a warm backend of size 1 of late; 0: not known
-	levels   []level       // where a request goes, tried in turn
-
-	watching bool // a subscription is asked for or stands
-	watchAt  time.Duration
-	watchGap time.Duration
-}
-
 // New returns a Balancer, or an error that names the setting it cannot use.
 func New(s Settings, seed uint64, host Host) (*Balancer, error) {
 	if err := s.Validate(); err != nil {
--- a/state.go
+++ b/state.go
@@ -3,11 +3,56 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
 // The records that the decision module (balancer.go) keeps.
 
+// Balancer decides for one proxy. Its methods must not be called concurrently.
+type Balancer struct {
+	set      Settings
+	host     Host
+	rng      *rand.Rand
+	started  bool
+	sweep    time.Duration // time between sweeps
+	sweeps   int
+	shortAim time.Duration
+
+	backends map[BackendID]*backend
+	sorted   []*backend // by id, all that are not gone
+	groups   [2]group   // own zone, other zones
+	dirty    bool       // the groups no longer match the list and the ejections
+
+	open   []*request // every request that is owed an answer or has attempts out
+	byID   map[RequestID]*request
+	spare  []*request
+	budget float64
+
+	median     float64 // running median of the hints
+	hints      float64 // how many hints it has seen
+	meanWork   float64
+	pace       float64    // time an answer takes for each unit of its work, waiting included
+	largeShare float64    // share of the work that is above the median, by the hints
+	tilt       float64    // what lateness in the lanes adds to it
+	sent       rate       // work sent a second
+	laneLate   [2]float64 // share of late answers in each lane
+	shed       float64    // share of the work, least worth first, that is refused
+	controlled time.Duration
+	bands      []band // classes within and beyond quota, least worth first
+	bandOf     []int  // class*2 (+1 beyond quota) -> index into bands
+	quota      []bucket
+
+	paths    map[int]*path // by zone
+	spillers float64       // proxies of other zones that may spill to one backend
+	usual    float64       // most answers a second of a warm backend of size 1 of late; 0: not known
+	levels   []level       // where a request goes, tried in turn
+
+	watching bool // a subscription is asked for or stands
+	watchAt  time.Duration
+	watchGap time.Duration
+}
+
 // band is requests of one class, within or beyond their tenants' shares.
 type band struct {
 	worth   float64
