Draw for sends to cold servers where balancers are many: all together send what it can do

Cause: coldGap bounded the time between two requests of a proxy by the 24 s of a cold start (min(meanWork/perSec, Cold)), so that each proxy of a zone might send one, however small its share: in the model the share was one in 71 s. And may() let a right last until it is used (now >= coldNext), so that all use theirs when the warm ones fill. coldSpeed meant three times the promised capacity where 2.5 times push a server over.

Change: with more than four balancers a zone, each draws for every eighth of overload_for_ms whether it may send one; the chance makes all together send what the server can do; an unused right is void. Fewer balancers keep what they had.

--- a/balancer.go
+++ b/balancer.go
@@ -31,6 +31,7 @@
 	ownBounds     = 4.0      // so many proxies in a zone need no limit but those on their own
 	coldSpeed     = 3.0      // a cold backend may get so many times its share: a fall is a little further
 	coldGrowth    = 2.0      // and so many times what it last answered, if it held next to nothing
+	coldWindows   = 8        // spans, within that of the rule, for which a send to it is drawn
 	idleHolds     = 1.5      // requests, which are next to nothing
 	wayAnswers    = 64       // answers that tell how long the way to a zone is
 	wayShare      = 0.75     // the most of what is out that counts as on its way
@@ -55,6 +56,9 @@
 	for _, c := range s.Classes {
 		b.shortAim = min(b.shortAim, c.Aim)
 	}
+	if b.many() {
+		b.draw, b.window = b.rng.Uint64(), s.Rules.OverloadFor/coldWindows
+	}
 	for i := range b.groups { // proxies that start together must not walk the fleet in step
 		b.groups[i].limit = math.Inf(1)
 		b.groups[i].next = [2]int{b.rng.IntN(math.MaxInt32), b.rng.IntN(math.MaxInt32)}
@@ -344,9 +348,22 @@
 		return false
 	}
 	// One request at a time, so that it is never sent more than it gets done.
-	return now >= to.coldNext && to.inflight == 0
+	return now >= to.coldNext && to.inflight == 0 && (b.window == 0 || b.drawn(now, to))
+}
+
+// drawn tells whether a cold backend may have a request of this proxy now. A share of less
+// than one within the rule's span means that most proxies send none: each draws for every
+// window, and what it does not use is void. Had all the right to one and kept it until they
+// were busy, they would send it at once. Windows of proxies and backends are out of step.
+func (b *Balancer) drawn(now time.Duration, to *backend) bool {
+	at := uint64(float64(now)/float64(b.window) + to.rank)
+	chance := float64(mix(mix(at^b.draw)^to.salt)) / math.MaxUint64
+	return chance*float64(b.coldGap(now, to)) <= float64(b.window)
 }
 
+// many tells whether there are too many proxies for the bounds on their own to do.
+func (b *Balancer) many() bool { return float64(b.set.Proxies) > ownBounds*float64(len(b.set.Zones)) }
+
 // triable tells whether an ejected backend may have its trial: paused and, if allowed, probed.
 func (b *Balancer) triable(now time.Duration, to *backend) bool {
 	return now >= to.retryAt && (to.probed || !b.set.Limits.Probes)
@@ -392,7 +409,7 @@
 		b.groups[to.away].out++
 		b.groups[to.away].sent.add(now, r.work)
 	} else {
-		to.coldNext = max(to.coldNext, now) + b.coldGap(now, to)
+		to.coldNext = max(to.coldNext, now) + b.coldPause(now, to)
 	}
 	to.trial = to.trial || to.ejected > 0
 	r.tries = append(r.tries, attempt{to: to, sent: now, warm: warm})
@@ -411,16 +428,40 @@
 // coldGap is the time in which this proxy's share of a cold backend amounts to a mean
 // request. A warm one of its size tells the share, by what this proxy sends it or by what
 // it answers for all, times the cold one's warmth. Only light hints go there, and those
-// are too low as often as not: hence the mean.
+// are too low as often as not: hence the mean. Many proxies together send it no more than
+// it can do; what pushes it over beyond that is room for uneven zones, weights and hints.
 func (b *Balancer) coldGap(now time.Duration, to *backend) time.Duration {
-	perSec := coldSpeed * max(b.warmRate(now), b.usual*b.meanWork/b.mates(to)) * b.warmth(now, to) * to.Size
+	mates, growth, longest := b.mates(to), coldGrowth, b.set.Rules.Cold
+	perSec := b.usual * b.meanWork / mates
+	switch {
+	case b.window == 0:
+		perSec = coldSpeed * max(b.warmRate(now), perSec)
+	case perSec == 0: // nothing was ever said
+		perSec = b.warmRate(now)
+	}
+	if b.window > 0 { // no least of one each: it alone can be more than they all may send
+		growth, longest = 1, time.Hour
+	}
+	perSec *= b.warmth(now, to) * to.Size
 	if to.crowd.at > 0 && to.crowd.others < idleHolds {
-		perSec = max(perSec, coldGrowth*to.crowd.last*b.meanWork/b.mates(to))
+		perSec = max(perSec, growth*to.crowd.last*b.meanWork/mates)
 	}
-	if perSec <= 0 {
+	switch {
+	case perSec <= 0 && b.window == 0:
 		return 0
+	case perSec <= 0: // not known yet: many would all try at once
+		return longest
+	}
+	return time.Duration(min(b.meanWork/perSec, longest.Seconds()) * float64(time.Second))
+}
+
+// coldPause is how long a cold backend gets nothing after a request of this proxy: until
+// the next window, if sends are drawn.
+func (b *Balancer) coldPause(now time.Duration, to *backend) time.Duration {
+	if b.window > 0 {
+		return b.window
 	}
-	return time.Duration(min(b.meanWork/perSec, b.set.Rules.Cold.Seconds()) * float64(time.Second))
+	return b.coldGap(now, to)
 }
 
 // Outcome takes the end of an attempt.
@@ -590,7 +631,7 @@
 // that many proxies do not greet the backend in the same moment.
 func (b *Balancer) chill(now time.Duration, to *backend, since time.Duration) {
 	to.coldSince, to.doubt, to.latency = since, 0, 0
-	to.coldNext = now + jitter(b.rng, b.coldGap(now, to))
+	to.coldNext = now + jitter(b.rng, b.coldPause(now, to))
 }
 
 // strike counts a failure; so many in a row eject.
@@ -927,7 +968,7 @@
 	dt := b.sweep.Seconds()
 	g.peak = max(float64(g.out), g.peak*math.Exp(-dt))
 	held, known := g.holds(now)
-	if !known || float64(b.set.Proxies) <= ownBounds*float64(len(b.set.Zones)) {
+	if !known || !b.many() {
 		g.limit = math.Inf(1)
 		return
 	}
--- a/crowd_test.go
+++ b/crowd_test.go
@@ -137,3 +137,39 @@
 	b, _ = sweepWith(t, settings(), 5)
 	require.False(t, b.groups[0].full(), "few proxies: their own bounds do")
 }
+
+// TestManyBusyAtOnceDoNotPushAColdBackendOver: what many proxies may send it each, and did not
+// while they were idle, must not come from all of them in the moment in which all are busy.
+func TestManyBusyAtOnceDoNotPushAColdBackendOver(t *testing.T) {
+	s := manyProxies()
+	s.Rules.OverloadFor = 2 * time.Second
+	const warm, work, multiple = 10.0, 50.0, 2.5 // answers a second, ms each, and the rule's multiple
+	born, most, all := 2*time.Second, 0.0, 0.0
+	for round := range uint64(10) {
+		sends := 0.0
+		for i := range uint64(s.Proxies / len(s.Zones)) {
+			b, err := New(s, round<<32+i, &recorder{})
+			require.NoError(t, err)
+			b.List(time.Second, ListFull, fleet(4, 2))
+			for id := range BackendID(8) {
+				b.Reported(time.Second, id+1, Load{Inflight: 2, PerSec: warm})
+			}
+			b.survey(time.Second)
+			b.meanWork = work
+			to := b.backends[1]
+			b.chill(born, to, born)
+			for now := born + 3*time.Second; now < born+5*time.Second; now += 20 * ms {
+				r := b.newRequest(now, Request{ID: RequestID(now), Class: safeClass, Deadline: now + time.Second, Hint: work})
+				if b.may(now, r, to) {
+					b.send(now, r, to)
+					to.inflight-- // answered at once
+					sends++
+				}
+			}
+		}
+		most, all = max(most, sends*work), all+sends*work/10
+	}
+	can := warm * work * (0.2 + 0.8*4/20) * 2
+	require.InDelta(t, can, all, can/4, "as much as it can do, on the mean")
+	require.Less(t, most, multiple*can)
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -53,6 +53,7 @@
 		AskWithinMS int     `toml:"ask_within_ms"`
 		ColdFrom    float64 `toml:"cold_from"`
 		ColdMS      int     `toml:"cold_ms"`
+		OverloadMS  int     `toml:"overload_for_ms"`
 	} `toml:"rules"`
 	Classes []struct {
 		Name       string  `toml:"name"`
@@ -73,7 +74,7 @@
 	f.Requests.MaxAttempts, f.Requests.SecondCopies, f.Requests.Cancel, f.Requests.Probes = 4, true, true, true
 	f.Requests.RetryMostMS = 2000
 	f.Servers.KeepAliveMS, f.Servers.DialMS = 60000, 250
-	f.Rules.AskWithinMS, f.Rules.ColdFrom, f.Rules.ColdMS = 10000, 0.12, 24000
+	f.Rules.AskWithinMS, f.Rules.ColdFrom, f.Rules.ColdMS, f.Rules.OverloadMS = 10000, 0.12, 24000, 2000
 	return f
 }
 
@@ -157,6 +158,7 @@
 	within("servers.dial_timeout_ms", f.Servers.DialMS, 1, hour)
 	within("rules.ask_within_ms", f.Rules.AskWithinMS, 1, hour)
 	within("rules.cold_ms", f.Rules.ColdMS, 0, hour)
+	within("rules.overload_for_ms", f.Rules.OverloadMS, 0, hour)
 	if !(f.Rules.ColdFrom >= 0 && f.Rules.ColdFrom <= 1) {
 		add("rules.cold_from", "%v, a share from 0 to 1 is expected", f.Rules.ColdFrom)
 	}
@@ -166,7 +168,9 @@
 			MaxAttempts: f.Requests.MaxAttempts, SecondCopies: f.Requests.SecondCopies, Cancel: f.Requests.Cancel, Probes: f.Requests.Probes,
 			RetryAfter: f.Requests.RetryAfter, MaxRetryAfter: ms(f.Requests.RetryMostMS),
 		},
-		Rules:          piernotch.Rules{AskWithin: ms(f.Rules.AskWithinMS), ColdFrom: f.Rules.ColdFrom, Cold: ms(f.Rules.ColdMS)},
+		Rules: piernotch.Rules{
+			AskWithin: ms(f.Rules.AskWithinMS), ColdFrom: f.Rules.ColdFrom, Cold: ms(f.Rules.ColdMS), OverloadFor: ms(f.Rules.OverloadMS),
+		},
 		OverShareWorth: 0.1,
 	}
 	f.classes(&c, within, add)
--- a/internal/scenario/day.go
+++ b/internal/scenario/day.go
@@ -465,7 +465,8 @@
 			MaxAttempts: b.MaxAttempts, SecondCopies: b.SecondCopies, Cancel: b.Cancel, Probes: b.Probes,
 			RetryAfter: b.RetryAfter, MaxRetryAfter: millis(b.MaxRetryAfterMS.From),
 		},
-		Rules:          piernotch.Rules{AskWithin: d.Rules.AskWithin, ColdFrom: d.Rules.ColdFrom, Cold: d.Rules.Cold},
+		Rules: piernotch.Rules{AskWithin: d.Rules.AskWithin, ColdFrom: d.Rules.ColdFrom, Cold: d.Rules.Cold,
+			OverloadFor: d.Rules.Fall.For},
 		OverShareWorth: 0.1,
 	}
 	for _, c := range d.Classes {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -45,6 +45,7 @@
 		AskWithinMS float64 `json:"ask_within_ms"`
 		ColdFrom    float64 `json:"cold_from"`
 		ColdMS      float64 `json:"cold_ms"`
+		OverloadMS  float64 `json:"overload_for_ms"`
 	} `json:"rules"`
 	Specifics struct {
 		WarmKeys bool `json:"warm_keys"`
@@ -85,6 +86,7 @@
 		Rules: piernotch.Rules{
 			AskWithin: Duration(in.Rules.AskWithinMS),
 			ColdFrom:  in.Rules.ColdFrom, Cold: Duration(in.Rules.ColdMS),
+			OverloadFor: Duration(in.Rules.OverloadMS),
 		},
 		OverShareWorth: in.OverShareWorth,
 	}
--- a/piernotch.go
+++ b/piernotch.go
@@ -72,6 +72,8 @@
 	AskWithin time.Duration // discovery on request: ask at least this often
 	ColdFrom  float64       // share of its capacity a backend starts with
 	Cold      time.Duration // and the time by which it has all of it
+	// Too much for so long, from all proxies together, pushes a cold backend over; 0: not told.
+	OverloadFor time.Duration
 }
 
 // Settings is what a Balancer is told once. The names in it are labels for
--- a/settings.go
+++ b/settings.go
@@ -15,7 +15,7 @@
 		return fmt.Errorf("settings: tick is %v", s.Tick)
 	case s.Limits.MaxAttempts < 1:
 		return fmt.Errorf("settings: limits: max attempts is %d", s.Limits.MaxAttempts)
-	case s.Rules.Cold < 0 || s.Rules.AskWithin < 0:
+	case s.Rules.Cold < 0 || s.Rules.AskWithin < 0 || s.Rules.OverloadFor < 0:
 		return fmt.Errorf("settings: rules: negative time")
 	case !(s.Rules.ColdFrom >= 0 && s.Rules.ColdFrom <= 1):
 		return fmt.Errorf("settings: rules: cold from is %v", s.Rules.ColdFrom)
--- a/state.go
+++ b/state.go
@@ -28,6 +28,8 @@
 	byID   map[RequestID]*request
 	spare  []*request
 	budget float64
+	draw   uint64        // what sets this proxy's draws apart
+	window time.Duration // for which a send to a cold backend is drawn; 0: too few to draw
 
 	median     float64 // running median of the hints
 	hints      float64 // how many hints it has seen
