--- a/balancer.go
+++ b/balancer.go
@@ -28,7 +28,7 @@
 	crowdedKey    = 8.0      // and so many for a request whose key it may know
 	heldAim       = 1.5      // what a backend should hold, on the mean of its group
 	steerTime     = 0.35     // seconds in which the limit on a group changes by e at the most
-	fairPart      = 0.65     // of the mean share that is sent, a band gets at least, if it waits
+	fairPart      = 0.8      // of the mean share that is sent, a band gets at least, if it waits
 	ownBounds     = 4.0      // so many proxies in a zone need no limit but those on their own
 	coldSpeed     = 3.0      // a cold backend may get so many times its share: a fall is a little further
 	coldGrowth    = 2.0      // and so many times what it last answered, if it held next to nothing
@@ -195,10 +195,10 @@
 	for _, level := range b.levels[1:] {
 		for _, to := range b.groups[level.away].members {
 			if b.load(to) >= level.depth || b.crowded(now, to, crowdedBeyond) || b.foreign(to) ||
-				b.spurns(now, r, to) || r.tried(to) || !b.may(now, r, to) {
+				b.spurns(now, r, to) || b.many() && !b.fits(now, r, to) || r.tried(to) || !b.may(now, r, to) {
 				continue
 			}
-			if best == nil || b.expected(r, to) < b.expected(r, best) {
+			if best == nil || b.expected(now, r, to) < b.expected(now, r, best) {
 				best = to
 			}
 		}
@@ -221,7 +221,7 @@
 // fits tells whether the backend is likely to answer in time. A heavy request on
 // a slow backend is late for certain, and so is a light one behind it.
 func (b *Balancer) fits(now time.Duration, r *request, to *backend) bool {
-	return !b.spurns(now, r, to) && b.expected(r, to) <= fit*float64(r.aim-now)/float64(time.Millisecond)
+	return !b.spurns(now, r, to) && b.expected(now, r, to) <= fit*float64(r.aim-now)/float64(time.Millisecond)
 }
 
 // pick takes the next backend of the request's lane, or else of the other lane.
--- a/crowd_test.go
+++ b/crowd_test.go
@@ -201,3 +201,14 @@
 	require.Greater(t, low+high, 300)
 	require.Greater(t, low, high/3, "%d of %d", low, low+high)
 }
+
+// TestNothingIsSentWhereItCannotBeInTime: a backend that holds five and answers one a second is
+// late for certain, whatever this proxy has there. Its word is not believed for good.
+func TestNothingIsSentWhereItCannotBeInTime(t *testing.T) {
+	b, h := start(t, manyProxies(), fleet(1, 1))
+	b.Reported(time.Second, 1, Load{Inflight: 5, PerSec: 1})
+	b.Request(time.Second, ask(1, safeClass, 10))
+	require.Empty(t, h.sent)
+	b.Request(5*time.Second, Request{ID: 2, Class: safeClass, Deadline: 6 * time.Second, Hint: 10})
+	require.Len(t, h.sent, 1)
+}
--- a/estimate.go
+++ b/estimate.go
@@ -131,13 +131,18 @@
 }
 
 // expected is how long the backend will take for the request after what this
-// proxy has there already, ms.
-func (b *Balancer) expected(r *request, to *backend) float64 {
+// proxy has there already, ms. Where proxies are many that is next to nothing, and what all
+// have there, by its reports, tells more: requests held over answers a second (Little's law).
+func (b *Balancer) expected(now time.Duration, r *request, to *backend) float64 {
 	pace := to.pace
 	if pace == 0 {
 		pace = b.pace
 	}
-	return (to.backlog + r.work) * pace
+	ms := (to.backlog + r.work) * pace
+	if c := &to.crowd; b.many() && c.at > 0 && now-c.at < reportLasts && c.rate > 0 {
+		ms = max(ms, 1000*(c.mean+float64(to.inflight))/c.rate)
+	}
+	return ms
 }
 
 // silence is how long an answer may take before it counts as missing.
