Use one list of status names and one test of a report's age; count a span's balancers once

Change: Status.String, crowd.lately, one set after the span is found, one reading; Core.Mood stands with Core's methods. No behaviour changes.

--- a/crowd.go
+++ b/crowd.go
@@ -43,6 +43,9 @@
 	return prior + math.Exp(-(now-c.at).Seconds()/reportAge)*(c.others-prior)
 }
 
+// lately tells whether the backend has said so lately that its word stands for a mean.
+func (c *crowd) lately(now time.Duration) bool { return c.at > 0 && now-c.at < reportLasts }
+
 // mates is how many proxies send to a backend, if they are spread evenly over the zones.
 func (b *Balancer) mates(to *backend) float64 {
 	if to.away == 1 {
@@ -71,7 +74,7 @@
 func (g *group) holds(now time.Duration) (held float64, known bool) {
 	said := 0.0
 	for _, to := range g.members {
-		if to.coldSince < 0 && to.crowd.at > 0 && now-to.crowd.at < reportLasts {
+		if to.coldSince < 0 && to.crowd.lately(now) {
 			held += to.crowd.now(now, to.crowd.mean) + float64(to.inflight)
 			said++
 		}
--- a/estimate.go
+++ b/estimate.go
@@ -139,7 +139,7 @@
 		pace = b.pace
 	}
 	ms := (to.backlog + r.work) * pace
-	if c := &to.crowd; b.many() && c.at > 0 && now-c.at < reportLasts && c.rate > 0 {
+	if c := &to.crowd; b.many() && c.lately(now) && c.rate > 0 {
 		ms = max(ms, 1000*(c.mean+float64(to.inflight))/c.rate)
 	}
 	return ms
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -256,6 +256,13 @@
 // Ending tells whether the program is on its way out.
 func (c *Core) Ending() bool { return c.ending }
 
+// Mood is a line for the log, at level debug, of what the module believes.
+func (c *Core) Mood() {
+	if c.debug {
+		slog.Debug("mood", "module", c.balancer.String())
+	}
+}
+
 // Handle takes an event and returns what is to be done about it, in order. The
 // slice is used again by the next call.
 func (c *Core) Handle(now time.Duration, ev Event) []Effect {
@@ -604,13 +611,6 @@
 
 func (h host) Watch() { h.c.do(Watch{}) }
 
-// Mood is a line for the log, at level debug, of what the module believes.
-func (c *Core) Mood() {
-	if c.debug {
-		slog.Debug("mood", "module", c.balancer.String())
-	}
-}
-
 func (h host) SetTimer(d time.Duration, token uint32) {
 	h.c.wheel.At(h.c.now+d, func() { h.c.balancer.Timer(h.c.now, token) })
 }
--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -51,7 +51,12 @@
 	Most      int            `json:"most"`   // sends within any span
 	MostAt    float64        `json:"most_at"`
 	Balancers int            `json:"balancers"` // that those came from
-	sends     []Line
+	sends     []send
+}
+
+type send struct {
+	at       float64
+	balancer string
 }
 
 // Report is the sum over all balancers.
@@ -183,7 +188,7 @@
 		case "send":
 			s.Sends++
 			to := server(l)
-			to.sends = append(to.sends, Line{At: l.At, Balancer: l.Balancer})
+			to.sends = append(to.sends, send{l.At, l.Balancer})
 		case "attempt ended":
 			s.Ends[l.Fields["status"]]++
 			server(l).Ends[l.Fields["status"]]++
@@ -218,20 +223,20 @@
 
 // crowd finds the span in which the server was sent most.
 func (s *Server) crowd(span float64) {
-	slices.SortFunc(s.sends, func(a, b Line) int { return cmp.Compare(a.At, b.At) })
+	slices.SortFunc(s.sends, func(a, b send) int { return cmp.Compare(a.at, b.at) })
 	s.Sends = len(s.sends)
-	from := 0
-	for i, l := range s.sends {
-		for l.At-s.sends[from].At >= span {
+	from, last := 0, 0
+	for i, x := range s.sends {
+		for x.at-s.sends[from].at >= span {
 			from++
 		}
 		if i-from+1 > s.Most {
-			s.Most, s.MostAt = i-from+1, l.At
-			balancers := map[string]bool{}
-			for _, other := range s.sends[from : i+1] {
-				balancers[other.Balancer] = true
-			}
-			s.Balancers = len(balancers)
+			s.Most, s.MostAt, last = i-from+1, x.at, i
 		}
 	}
+	balancers := map[string]bool{}
+	for _, x := range s.sends[max(last+1-s.Most, 0):][:s.Most] {
+		balancers[x.balancer] = true
+	}
+	s.Balancers = len(balancers)
 }
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -198,8 +198,8 @@
 		WallS: wall.Seconds(), ModuleS: m.ModuleTime.Seconds(), Seconds: t.Seconds, Servers: m.tracks,
 		Handshakes: m.Opened, ListFailed: m.ListFailed, Ended: map[string]int{},
 	}
-	for s, name := range []string{"ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"} {
-		r.Ended[name] = m.Outcomes[s]
+	for s := piernotch.OK; s <= piernotch.Moot; s++ {
+		r.Ended[s.String()] = m.Outcomes[s]
 	}
 	asks := float64(t.Asked)
 	r.DrainLatest = float64(w.audit.DrainLatest()/time.Microsecond) / 1000
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,13 +135,14 @@
 	n.upstream.Tick()
 	n.watcher.Tick()
 	n.leave()
-	if now := n.now(); now-n.summary >= summaryEvery {
+	now := n.now()
+	if now-n.summary >= summaryEvery {
 		if n.summary > 0 {
 			n.log("totals")
 		}
 		n.summary = now
 	}
-	if now := n.now(); now-n.mood >= time.Second {
+	if now-n.mood >= time.Second {
 		n.mood = now
 		n.core.Mood()
 	}
