Read log lines with go-logfmt instead of a parser of our own

Need: libraries go before hand-made copies, and logread took logfmt apart itself.

Change: go-logfmt/logfmt (MIT, the format's usual reader) parses the pairs; the number in front stays ours.

--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -2,7 +2,7 @@
 // by second and by server, and what became of one request. Requests and attempts are in a
 // log of level debug only (PIERNOTCH_LOG=debug).
 //
-// A line is logfmt, key=value with values quoted as Go strings where they must be. A number
+// A line is logfmt, key=value. A number
 // in front of it, seconds since a common start, goes before the line's own time.
 package logread
 
@@ -16,6 +16,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/go-logfmt/logfmt"
 )
 
 // Line is one line of one balancer.
@@ -78,23 +80,14 @@
 		}
 		l.At, rest, since = at, after, true
 	}
-	for rest != "" {
-		key, after, found := strings.Cut(rest, "=")
-		if !found || key == "" || strings.Contains(key, " ") {
-			return l, false
+	fields := logfmt.NewDecoder(strings.NewReader(rest))
+	for fields.ScanRecord() {
+		for fields.ScanKeyval() {
+			l.Fields[string(fields.Key())] = string(fields.Value())
 		}
-		value := after
-		if strings.HasPrefix(after, `"`) {
-			quoted, err := strconv.QuotedPrefix(after)
-			if err != nil {
-				return l, false
-			}
-			value, _ = strconv.Unquote(quoted)
-			rest = strings.TrimPrefix(after[len(quoted):], " ")
-		} else {
-			value, rest, _ = strings.Cut(after, " ")
-		}
-		l.Fields[key] = value
+	}
+	if fields.Err() != nil {
+		return l, false
 	}
 	if !since {
 		at, err := time.Parse(time.RFC3339, l.Fields["time"])
