--- a/balancer.go
+++ b/balancer.go
@@ -50,32 +50,19 @@
 		return nil, err
 	}
 	b := &Balancer{
-		set: s, host: host, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		backends: map[BackendID]*backend{}, byID: map[RequestID]*request{}, paths: map[int]*path{},
-		shortAim: s.Classes[0].Aim, largeShare: 0.5, spillers: max(spillers, spillShare*float64(s.Proxies)),
-	}
-	for _, c := range s.Classes {
-		b.shortAim = min(b.shortAim, c.Aim)
+		set: s, host: host, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), largeShare: 0.5,
+		backends: map[BackendID]*backend{}, excluded: map[BackendID]bool{},
+		byID: map[RequestID]*request{}, paths: map[int]*path{},
 	}
 	if b.many() {
-		b.draw, b.window = b.rng.Uint64(), s.Rules.OverloadFor/coldWindows
+		b.draw = b.rng.Uint64()
 	}
 	for i := range b.groups { // proxies that start together must not walk the fleet in step
 		b.groups[i].limit = math.Inf(1)
 		b.groups[i].next = [2]int{b.rng.IntN(math.MaxInt32), b.rng.IntN(math.MaxInt32)}
 	}
-	// A zone counts as empty when each of its backends holds its bound of this proxy's
-	// requests: what would queue there unseen waits here instead, where it can still go to
-	// whichever backend is free first. The bounds are small, for a backend is crowded by all
-	// proxies together: elsewhere, the fewer may spill there, the more each of them may.
-	b.levels = []level{{0, 1}, {0, 2}, {1, 1}}
-	for depth := 2.0; depth*float64(s.Proxies-1) <= spillers && depth < spillers; depth++ {
-		b.levels = append(b.levels, level{1, depth})
-	}
-	b.sweep = max(s.Tick, time.Duration(float64(b.shortAim)/sweepsPerAim))
-	b.watchGap = s.Rules.AskWithin / 8
 	b.quota = make([]bucket, len(s.Tenants))
-	b.rankBands()
+	b.configure()
 	return b, nil
 }
 
@@ -86,6 +73,7 @@
 		index int
 	}
 	var all []ranked
+	b.bands = nil
 	for i, c := range b.set.Classes {
 		all = append(all, ranked{c.Worth, 2 * i}, ranked{c.Worth * b.set.OverShareWorth, 2*i + 1})
 	}
@@ -154,7 +142,7 @@
 		r.lane = 1
 	}
 	r.band = b.bandOf[2*in.Class]
-	if b.beyondQuota(now, in.Tenant) {
+	if r.over = b.beyondQuota(now, in.Tenant); r.over {
 		r.band = b.bandOf[2*in.Class+1]
 	}
 	b.open = append(b.open, r)
@@ -321,7 +309,7 @@
 		return false
 	}
 	// Draining and gone backends get nothing from the moment this proxy knows.
-	if to.State != Ready {
+	if !to.usable() {
 		return false
 	}
 	if r.out > 0 && (!b.set.Limits.SecondCopies || r.class.Effect == Unsafe) {
@@ -809,7 +797,7 @@
 		if to.coldSince >= 0 && (now >= to.coldSince+b.set.Rules.Cold || (to.doubt > 0 && now >= to.doubt)) {
 			to.coldSince, to.doubt = -1, 0
 		}
-		if to.ejected == 0 || now < to.retryAt || to.State != Ready {
+		if to.ejected == 0 || now < to.retryAt || !to.usable() {
 			continue
 		}
 		if b.set.Limits.Probes && !to.probed && !to.probing {
@@ -834,7 +822,7 @@
 		b.groups[i].members = b.groups[i].members[:0]
 	}
 	for _, to := range b.sorted {
-		if to.State == Ready && (to.ejected == 0 || b.triable(now, to)) {
+		if to.usable() && (to.ejected == 0 || b.triable(now, to)) {
 			g := &b.groups[to.away]
 			g.members = append(g.members, to)
 		}
@@ -921,6 +909,7 @@
 			return
 		}
 		to = &backend{Entry: e, salt: mix(uint64(e.ID)), coldSince: -1, rank: b.rng.Float64()}
+		to.excluded = b.excluded[e.ID]
 		to.failing, to.sent = make([]float64, len(b.set.Classes)), make([]time.Duration, len(b.set.Classes))
 		if e.Zone != b.set.Zone {
 			to.away = 1
--- a/cmd/piernotch/main.go
+++ b/cmd/piernotch/main.go
@@ -42,20 +42,25 @@
 	Config string `short:"c" placeholder:"FILE" env:"PIERNOTCH_CONFIG" help:"Configuration in TOML; goes before ROUTER_CONFIG."`
 }
 
-func (s source) load(again bool) (config.Config, error) {
-	switch {
-	case s.Config != "":
+func (s source) load() (config.Config, error) {
+	if s.Config != "" {
 		return config.LoadFile(s.Config)
-	case again:
-		return config.Reload(os.Getenv)
 	}
 	return config.Load(os.Getenv)
 }
 
+// again reads the file again for a process that started with cfg.
+func (s source) again(cfg config.Config) (config.Config, error) {
+	if s.Config != "" {
+		return config.LoadFile(s.Config)
+	}
+	return cfg.Reload(os.Getenv)
+}
+
 type checkCmd struct{ source }
 
 func (c *checkCmd) Run() error {
-	cfg, err := c.load(false)
+	cfg, err := c.load()
 	if err == nil {
 		fmt.Printf("good: %s listens on %s, asks %s, %d classes, %d servers known\n",
 			cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Settings.Classes), len(cfg.Known.Members))
@@ -90,7 +95,7 @@
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 	signal.Ignore(syscall.SIGPIPE) // whoever reads the log may go; the service stays
-	cfg, err := c.load(false)
+	cfg, err := c.load()
 	if err != nil {
 		return err
 	}
@@ -98,12 +103,11 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // the machine has one core, and others may share it
-	// Stacks, the runtime and what the kernel books to the process come on top.
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 6 / 10)
 	n, err := node.New(cfg)
 	if err != nil {
 		return err
 	}
+	n.LimitMemory = debug.SetMemoryLimit
 	if err := n.Start(); err != nil {
 		return err
 	}
@@ -111,10 +115,10 @@
 		for s := range signals {
 			if s != syscall.SIGHUP {
 				n.Terminate()
-			} else if cfg, err := c.load(true); err != nil {
+			} else if next, err := c.again(cfg); err != nil {
 				slog.Error("configuration not taken, the old one stands", "err", err)
 			} else {
-				n.Reload(cfg)
+				n.Reload(next)
 			}
 		}
 	}()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,10 @@
 	KeepAlive, DialTimeout  time.Duration
 	Log                     logs.Options
 	Trace                   Trace
+	Management              string // the operators' address; "": there is none
+	ListenFD                int    // a listening socket that was handed down; 0: none, Listen is bound
+	raw                     []byte // the file
+	StateDir                string // where processes of this balancer beside each other meet; "": nowhere
 }
 
 // Trace is where traffic is recorded; without a file it is not.
@@ -36,11 +40,12 @@
 }
 
 type fileJSON struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
+	Name       string `json:"name"`
+	Listen     string `json:"listen"`
+	Discovery  string `json:"discovery"`
+	Management string `json:"management"`
+	Seed       string `json:"seed"`
+	Limits     struct {
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
@@ -65,15 +70,23 @@
 	return parse(data, getenv)
 }
 
-// Reload reads the file again while the program runs. ROUTER_DISCOVERY was for the
-// start: a file that names another address now must win over it.
-func Reload(getenv func(string) string) (Config, error) {
-	return Load(func(name string) string {
+// Reload reads the file again while the program runs with what was loaded at its start.
+// ROUTER_DISCOVERY was for the start: a file that names another address now must win over it.
+// The file has to be whole: it holds each key that the one of the start holds.
+func (c Config) Reload(getenv func(string) string) (Config, error) {
+	next, err := Load(func(name string) string {
 		if name == "ROUTER_DISCOVERY" {
 			return ""
 		}
 		return getenv(name)
 	})
+	if err != nil {
+		return next, err
+	}
+	if err := complete(c.raw, next.raw); err != nil {
+		return next, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	return next, nil
 }
 
 func parse(data []byte, getenv func(string) string) (Config, error) {
@@ -88,16 +101,28 @@
 		return value
 	}
 	c := Config{
-		Name:      pick("ROUTER_NAME", in.Name),
-		Listen:    pick("ROUTER_LISTEN", in.Listen),
-		Discovery: pick("ROUTER_DISCOVERY", in.Discovery),
-		MemoryMB:  in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
+		raw:        data,
+		Name:       pick("ROUTER_NAME", in.Name),
+		Listen:     pick("ROUTER_LISTEN", in.Listen),
+		Discovery:  pick("ROUTER_DISCOVERY", in.Discovery),
+		Management: pick("ROUTER_MANAGEMENT", in.Management),
+		MemoryMB:   in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
 		Log: logs.Options{Level: getenv("PIERNOTCH_LOG")}, // the platform's file has no place for it
 	}
 	if err := c.Log.Check(); err != nil {
 		return c, fmt.Errorf("PIERNOTCH_LOG: %w", err)
 	}
-	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	if fd := getenv("ROUTER_LISTEN_FD"); fd != "" {
+		n, err := strconv.Atoi(fd)
+		if err != nil || n < 3 {
+			return c, fmt.Errorf("ROUTER_LISTEN_FD: %q is not a descriptor of 3 or more", fd)
+		}
+		c.ListenFD, c.StateDir = n, getenv("TMPDIR")
+	}
+	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"management", c.Management}} {
+		if a.field == "management" && a.value == "" {
+			continue
+		}
 		host, _, err := net.SplitHostPort(a.value)
 		if err != nil {
 			return c, fmt.Errorf("%s: %w", a.field, err)
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -17,12 +17,13 @@
 
 // file is the product's own configuration; docs/CONFIG.md is its reference.
 type file struct {
-	Name      string `toml:"name"`
-	Listen    string `toml:"listen"`
-	Discovery string `toml:"discovery"`
-	Seed      string `toml:"seed"`
-	Known     string `toml:"known_file"`
-	Limits    struct {
+	Name       string `toml:"name"`
+	Listen     string `toml:"listen"`
+	Discovery  string `toml:"discovery"`
+	Management string `toml:"management"`
+	Seed       string `toml:"seed"`
+	Known      string `toml:"known_file"`
+	Limits     struct {
 		MemoryMB int `toml:"memory_mb"`
 		Sockets  int `toml:"sockets"`
 	} `toml:"limits"`
@@ -118,9 +119,13 @@
 	c := Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Log: f.Log,
 		KeepAlive: ms(f.Servers.KeepAliveMS), DialTimeout: ms(f.Servers.DialMS),
-		Trace: Trace{f.Trace.File, int64(f.Trace.MaxMB) << 20},
+		Trace: Trace{f.Trace.File, int64(f.Trace.MaxMB) << 20}, Management: f.Management,
 	}
-	for _, a := range []struct{ key, value string }{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+	addresses := []struct{ key, value string }{{"listen", f.Listen}, {"discovery", f.Discovery}}
+	if f.Management != "" {
+		addresses = append(addresses, struct{ key, value string }{"management", f.Management})
+	}
+	for _, a := range addresses {
 		host, port, err := net.SplitHostPort(a.value)
 		if n, perr := strconv.Atoi(port); err != nil || net.ParseIP(host) == nil || perr != nil || n < 1 || n > 65535 {
 			add(a.key, "%q, an IP address and a port are expected, as in 127.0.0.1:18000", a.value)
--- /dev/null
+++ b/internal/config/shape_test.go
@@ -0,0 +1,44 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Nothing is taken from a file that is broken: a key that is missing would read as zero.
+func TestAFileReadAgainHasToBeWhole(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/example.json")
+	require.NoError(t, err)
+	name := filepath.Join(t.TempDir(), "config.json")
+	env := func(key string) string { return map[string]string{"ROUTER_CONFIG": name}[key] }
+	write := func(text string) { require.NoError(t, os.WriteFile(name, []byte(text), 0o600)) }
+	write(string(data))
+	cfg, err := Load(env)
+	require.NoError(t, err)
+	for _, c := range []struct{ old, new, message string }{
+		{string(data), "", "ROUTER_CONFIG: "},
+		{string(data), string(data)[:900], "ROUTER_CONFIG: "},
+		{`"points": 5, `, "", "ROUTER_CONFIG: settings.classes[0].points: missing"},
+		{`"zones": ["addis"], `, "", "ROUTER_CONFIG: settings.zones: missing"},
+		{`"cold_from": 0.12, `, "", "ROUTER_CONFIG: settings.rules.cold_from: missing"},
+		{`"cancelling": true`, `"cancelling": 1`, ""},
+		{`"deadline_ms": 5000`, `"deadline_ms": -1`, "settings: classes[0]: "},
+		{`"deadline_ms": 5000`, `"deadline_ms": "soon"`, "settings: "},
+		{`"most_tries": 4`, `"most_tries": 0`, "settings: limits: "},
+		{`"specifics": {"warm_keys": true}`, `"specifics": 3`, "settings: "},
+		{`"classes": [`, `"classes": [], "others": [`, "settings: no classes"},
+	} {
+		write(strings.Replace(string(data), c.old, c.new, 1))
+		_, err := cfg.Reload(env)
+		require.ErrorContains(t, err, c.message, c.new)
+	}
+	// Classes may come and go, and more may be said than before.
+	write(strings.Replace(string(data), `{"name": "segment-read",`, `{"name": "other", "x": 1,`, 1))
+	next, err := cfg.Reload(env)
+	require.NoError(t, err)
+	require.Equal(t, "other", next.Settings.Classes[0].Name)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 	"piernotch"
 	"piernotch/internal/wheel"
+	"piernotch/internal/words"
 )
 
 // Tick is the grain of all timers.
@@ -76,8 +77,22 @@
 	}
 	// Ticked is the passing of time.
 	Ticked struct{}
-	// Moved says that discovery is at another address from now on.
-	Moved struct{ Discovery string }
+	// Retuned brings other settings, and discovery's address, where it is another now. They
+	// are taken whole or not at all; Retuning tells which.
+	Retuned struct {
+		Settings  piernotch.Settings
+		Discovery string
+	}
+	// Operated is an operator's call, which is answered by Said.
+	Operated struct {
+		Call   uint64
+		Verb   words.Verb
+		Server string // the name of the feed server that it is about
+	}
+	// Heard is what another process of this balancer was told.
+	Heard struct{ Words *words.Words }
+	// Learnt is what another process of this balancer knows of the traffic.
+	Learnt struct{ Learnt piernotch.Learnt }
 	// Terminate asks the balancer to end once nothing is owed.
 	Terminate struct{}
 )
@@ -90,7 +105,10 @@
 func (Reported) event()   {}
 func (Members) event()    {}
 func (Ticked) event()     {}
-func (Moved) event()      {}
+func (Retuned) event()    {}
+func (Operated) event()   {}
+func (Heard) event()      {}
+func (Learnt) event()     {}
 func (Terminate) event()  {}
 
 // Member is one feed server as discovery lists it.
@@ -138,6 +156,20 @@
 	StopListening struct{}
 	// Exit ends the program: nothing is owed any more.
 	Exit struct{}
+	// Keep has what operators said written down before anything that follows.
+	Keep struct{}
+	// Said is the answer to an operator's call: yes without an error.
+	Said struct {
+		Call uint64
+		Err  error
+	}
+	// Drain has clients sent away, or taken again.
+	Drain struct{ On bool }
+	// Retuning tells what became of other settings: Routes are those in use now.
+	Retuning struct {
+		Routes []Route
+		Err    error
+	}
 )
 
 func (Send) effect()          {}
@@ -150,6 +182,10 @@
 func (Forget) effect()        {}
 func (StopListening) effect() {}
 func (Exit) effect()          {}
+func (Keep) effect()          {}
+func (Said) effect()          {}
+func (Drain) effect()         {}
+func (Retuning) effect()      {}
 
 // Verdict is what becomes of a request.
 type Verdict uint8
@@ -181,6 +217,7 @@
 type request struct {
 	id       piernotch.RequestID
 	name     string // the client's id
+	class    int
 	client   Client
 	message  any
 	deadline time.Duration
@@ -196,6 +233,8 @@
 	name    string
 	address string
 	state   piernotch.State
+	out     bool   // left out by operators
+	member  Member // as it was listed last
 	born    time.Duration
 }
 
@@ -215,6 +254,9 @@
 	ids       map[string]struct{} // clients' ids of what is owed an answer
 	backends  map[piernotch.BackendID]*backend
 	names     map[string]*backend
+	words     words.Words
+	by        uint64  // this process, in stamps
+	routes    []Route // how clients name the classes
 	listed    bool
 	discovery string // its address
 	probes    map[piernotch.BackendID]*wheel.Timer
@@ -229,10 +271,11 @@
 	Taken, Served, Refused, Failed, Gone, Attempts, Timeouts, Resets, ConnectFailed, Full, Errors, Overdue int
 }
 
-// New returns a reducer that starts at now with no feed servers.
-func New(set piernotch.Settings, seed uint64, now time.Duration, discovery string) (*Core, error) {
+// New returns a reducer that starts at now with no feed servers. by tells this process from
+// others of the same balancer.
+func New(set piernotch.Settings, seed uint64, now time.Duration, discovery string, by uint64) (*Core, error) {
 	c := &Core{
-		set: set, now: now, discovery: discovery, wheel: wheel.New(Tick, now),
+		set: set, now: now, discovery: discovery, by: by, wheel: wheel.New(Tick, now), routes: routes(set.Classes),
 		requests: map[piernotch.RequestID]*request{}, clients: map[Client]*request{},
 		ids:      map[string]struct{}{},
 		backends: map[piernotch.BackendID]*backend{}, names: map[string]*backend{},
@@ -317,12 +360,14 @@
 		c.members(ev)
 	case Ticked:
 		c.wheel.Advance(c.now)
-	case Moved:
-		// What is known stays until the new address has told the whole list.
-		if ev.Discovery != c.discovery {
-			c.discovery = ev.Discovery
-			c.do(MoveWatch{ev.Discovery})
-		}
+	case Retuned:
+		c.retuned(ev)
+	case Operated:
+		c.operated(ev)
+	case Heard:
+		c.heard(ev.Words)
+	case Learnt:
+		c.balancer.Resume(ev.Learnt)
 	case Terminate:
 		if !c.ending {
 			c.ending = true
@@ -344,7 +389,7 @@
 	c.ids[ev.ID] = struct{}{}
 	c.lastID++
 	c.Counts.Taken++
-	r := &request{id: c.lastID, name: ev.ID, client: ev.Client, message: ev.Message, deadline: ev.Deadline, last: piernotch.Moot}
+	r := &request{id: c.lastID, name: ev.ID, client: ev.Client, message: ev.Message, deadline: ev.Deadline, class: ev.Class, last: piernotch.Moot}
 	c.requests[r.id], c.clients[r.client] = r, r
 	if c.debug {
 		slog.Debug("request", "id", r.name, "class", ev.Class, "hint", ev.Hint, "wait_ms", (ev.Deadline - c.now).Milliseconds())
@@ -390,7 +435,7 @@
 	case Failed:
 		c.Counts.Failed++
 	}
-	reply.Client, reply.Close = r.client, c.ending
+	reply.Client, reply.Close = r.client, c.ending || c.words.Drain.On
 	if c.debug {
 		slog.Debug("answer", "id", r.name, "verdict", reply.Verdict, "attempts", len(r.tries), "left_ms", (r.deadline - c.now).Milliseconds())
 	}
@@ -421,7 +466,7 @@
 	if a == nil || a.written {
 		return
 	}
-	if a.to.state != piernotch.Ready {
+	if a.to.state != piernotch.Ready || a.to.out {
 		c.do(Drop{ref})
 		c.ended(r, ref.Attempt, piernotch.ConnectFailed, nil)
 		return
@@ -484,6 +529,9 @@
 		if b == nil {
 			b = &backend{id: c.idFor(m.Name), name: m.Name}
 			c.names[m.Name], c.backends[b.id] = b, b
+			if b.out = c.words.Excluded(m.Name); b.out {
+				c.balancer.Exclude(c.now, b.id)
+			}
 		}
 		// A server that has moved, restarted or is leaving: connections to what was
 		// there lead nowhere, and a machine that vanished never says so.
@@ -491,6 +539,7 @@
 		if b.address != "" && (stale || m.Entry.State != piernotch.Ready) {
 			c.do(Forget{b.place()})
 		}
+		b.member = m
 		b.address, b.state, b.born = m.Address, m.Entry.State, m.Entry.Born
 		m.Entry.ID = b.id
 		entries = append(entries, m.Entry)
@@ -503,13 +552,20 @@
 			}
 		}
 	}
+	var gone []*backend // attempts keep their own pointer
 	for name, b := range c.names {
-		if b.state == piernotch.Gone { // attempts keep their own pointer
+		if b.state == piernotch.Gone {
 			delete(c.names, name)
 			delete(c.backends, b.id)
+			gone = append(gone, b)
 		}
 	}
 	c.balancer.List(c.now, ev.Kind, entries)
+	for _, b := range gone { // the words stay: they hold for the name, should it come back
+		if b.out {
+			c.balancer.Include(c.now, b.id, 0)
+		}
+	}
 }
 
 // idFor makes an id from the name alone, so that all balancers find the same.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,12 +1,14 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
+	"piernotch/internal/words"
 )
 
 const start = 1000 * time.Second
@@ -18,7 +20,7 @@
 		Limits:  piernotch.Limits{MaxAttempts: 2, Cancel: true},
 		Rules:   piernotch.Rules{Cold: time.Second},
 	}
-	c, err := New(set, 1, start, "127.0.0.1:2")
+	c, err := New(set, 1, start, "127.0.0.1:2", 1)
 	require.NoError(t, err)
 	c.Handle(start, Members{Kind: piernotch.ListFull, Entries: []Member{server(piernotch.Ready)}})
 	return c
@@ -77,3 +79,58 @@
 	require.Contains(t, c.Handle(start, list), Forget{Place{c.names["s-1"].id, "127.0.0.1:1"}})
 	require.Empty(t, c.Handle(start, list), "once is enough")
 }
+
+func classed(name string, effect piernotch.Effect) piernotch.Class {
+	return piernotch.Class{Name: name, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Effect: effect}
+}
+
+// A class keeps its number while requests of it are under way, one whose effect changes gets
+// another, and numbers are used again once nothing has them.
+func TestClassesComeAndGo(t *testing.T) {
+	c := newCore(t)
+	now := time.Duration(start)
+	retune := func(classes ...piernotch.Class) (routes []Route, err error) {
+		set := c.Settings()
+		set.Classes = classes
+		for _, e := range c.Handle(now, Retuned{Settings: set, Discovery: "127.0.0.1:2"}) {
+			if r, ok := e.(Retuning); ok {
+				routes, err = r.Routes, r.Err
+			}
+		}
+		return routes, err
+	}
+	_, err := retune()
+	require.Error(t, err)
+	send := arrive(c, 1)[0].(Send)
+	routes, err := retune(classed("c", piernotch.Safe), classed("d", piernotch.Unsafe))
+	require.NoError(t, err)
+	require.Equal(t, []Route{
+		{Name: "c", Class: 0, Until: now + routeGrace}, {Name: "c", Safe: true, Class: 1}, {Name: "d", Class: 2},
+	}, routes)
+	routes, err = retune(classed("d", piernotch.Unsafe), classed("e", piernotch.Unsafe))
+	require.NoError(t, err)
+	require.Equal(t, []Route{{Name: "d", Class: 2}, {Name: "e", Class: 1}}, routes, "0 has a request under way")
+	c.Handle(now, Connected{send.Ref})
+	effects := c.Handle(now, Ended{Ref: send.Ref, Status: piernotch.Reset})
+	require.Equal(t, Failed, effects[0].(Reply).Verdict, "it keeps the class that it came with")
+	for i := range 50 {
+		routes, err = retune(classed(fmt.Sprint("n", i), piernotch.Safe))
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, len(c.Settings().Classes), 3)
+	require.Len(t, routes, 1)
+}
+
+// A dial that was asked for before its server was left out must not end in a send, and the
+// answer to the call comes behind the record of it.
+func TestNothingIsWrittenToAServerThatIsLeftOutMeanwhile(t *testing.T) {
+	c := newCore(t)
+	send := arrive(c, 1)[0].(Send)
+	effects := c.Handle(start, Operated{Call: 7, Verb: words.Exclude, Server: "s-1"})
+	require.Equal(t, []Effect{Forget{Place{send.To.Backend, "127.0.0.1:1"}}, Keep{}, Said{Call: 7}}, effects)
+	effects = c.Handle(start, Connected{send.Ref})
+	require.Equal(t, Drop{send.Ref}, effects[0])
+	require.Equal(t, Refused, effects[1].(Reply).Verdict)
+	require.Equal(t, []Effect{Said{8, words.ErrUnknown}}, c.Handle(start, Operated{Call: 8, Verb: words.Exclude, Server: "s-9"}))
+	require.Equal(t, []Effect{Drain{true}, Keep{}, Said{Call: 9}}, c.Handle(start, Operated{Call: 9, Verb: words.Evacuate}))
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -121,6 +121,13 @@
 	return &Watcher{engine: engine, emit: emit, now: now, address: address, zones: zones, version: version}
 }
 
+// Version is the last version of the list that is known.
+func (w *Watcher) Version() uint64 { return w.version }
+
+// Resume starts from a list that another watcher had, of this discovery or of another one, whose
+// versions mean nothing here.
+func (w *Watcher) Resume(version uint64, same bool) { w.version, w.whole = version, !same }
+
 // Watch begins the watch, unless one stands.
 func (w *Watcher) Watch() {
 	if w.asking {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -39,6 +39,9 @@
 	// lingerFor is how long the rest of a bad request is read and thrown away, so
 	// that its sender gets to read the answer.
 	lingerFor = 2 * time.Second
+	// leaveFor is how long clients that were sent away may leave a connection idle: it may be
+	// in use a moment later, and then its answer ends it.
+	leaveFor = 2500 * time.Millisecond
 	// When descriptors are short, so many connections give way at a time, the
 	// least use first: those that said nothing, or are long at it, for so long.
 	// One that has just come, or just had its answer, is spared: its request is
@@ -56,13 +59,14 @@
 	emit    func(core.Event)
 	now     func() time.Duration
 	ready   func() bool
-	classes map[string]int
-	set     piernotch.Settings
+	routes  map[string][]core.Route // by name
+	waits   []time.Duration         // the longest of each class
 	conns   map[*conn]struct{}
 	waiting map[core.Client]*conn
 	last    core.Client
 	ending  bool
-	crowd   int // so many connections are a crowd
+	drained time.Duration // since when clients are sent away; 0: they are not
+	crowd   int           // so many connections are a crowd
 }
 
 type conn struct {
@@ -80,15 +84,29 @@
 
 // New returns a front with no connections. ready says whether requests can be
 // served.
-func New(set piernotch.Settings, emit func(core.Event), now func() time.Duration, ready func() bool, sockets int) *Front {
-	f := &Front{
-		emit: emit, now: now, ready: ready, set: set, crowd: sockets / 4, classes: map[string]int{},
+func New(emit func(core.Event), now func() time.Duration, ready func() bool, sockets int) *Front {
+	return &Front{
+		emit: emit, now: now, ready: ready, crowd: sockets / 4,
 		conns: map[*conn]struct{}{}, waiting: map[core.Client]*conn{},
 	}
-	for i, c := range set.Classes {
-		f.classes[c.Name] = i
+}
+
+// Route has requests taken by these names from now on. waits is how long a client of each class
+// may wait at most.
+func (f *Front) Route(routes []core.Route, waits []time.Duration) {
+	f.routes, f.waits = map[string][]core.Route{}, waits
+	for _, r := range routes {
+		f.routes[r.Name] = append(f.routes[r.Name], r)
+	}
+}
+
+// Drain sends clients away, or takes them again. Each answer ends its connection from now on,
+// and connections on which nothing comes are closed a little later.
+func (f *Front) Drain(on bool) {
+	f.drained = 0
+	if on {
+		f.drained = f.now()
 	}
-	return f
 }
 
 // Accepted takes in a new connection.
@@ -151,7 +169,7 @@
 			c.bad(http1.StatusBadRequest, "bytes beyond the request")
 			return
 		}
-		c.final = m.Close || c.f.ending
+		c.final = m.Close || c.f.ending || c.f.drained > 0
 		c.serve(m)
 	}
 }
@@ -163,20 +181,16 @@
 		return
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class, known := c.f.classes[name]
-	if !known {
+	class, method := c.f.class(name, m.Method)
+	switch {
+	case method == "":
 		c.plain(http1.StatusNotFound, "no such class")
 		return
-	}
-	method := http1.MethodPost
-	if c.f.set.Classes[class].Effect == piernotch.Safe {
-		method = http1.MethodGet
-	}
-	if m.Method != method {
+	case m.Method != method:
 		c.plain(http1.StatusMethodNotAllowed, "use "+method, http1.Field{Name: "Allow", Value: method})
 		return
 	}
-	id, wait, reason := named(m, c.f.set.Classes[class].Deadline)
+	id, wait, reason := named(m, c.f.waits[class])
 	if reason != "" {
 		c.plain(http1.StatusBadRequest, reason)
 		return
@@ -194,6 +208,23 @@
 	})
 }
 
+// class finds the class that a request names, and the method it takes; "" if there is none.
+func (f *Front) class(name, method string) (class int, takes string) {
+	for _, r := range f.routes[name] {
+		if r.Until > 0 && f.now() >= r.Until {
+			continue
+		}
+		class, takes = r.Class, http1.MethodPost
+		if r.Safe {
+			takes = http1.MethodGet
+		}
+		if takes == method {
+			break
+		}
+	}
+	return class, takes
+}
+
 // named reads what a request must say of itself: one id, and how long its client
 // waits; the class's own time stands in where that is missing and bounds the rest.
 // What a feed server could not use, or could read in another way, is not passed on.
@@ -235,7 +266,7 @@
 	case m.Method != http1.MethodGet:
 		c.plain(http1.StatusMethodNotAllowed, "use GET", http1.Field{Name: "Allow", Value: http1.MethodGet})
 	case !c.f.ready():
-		c.plain(http1.StatusServiceUnavailable, "no list of feed servers yet, or ending")
+		c.plain(http1.StatusServiceUnavailable, "no list of feed servers yet, drained, or ending")
 	default:
 		c.plain(http1.StatusOK, "ok")
 	}
@@ -384,10 +415,10 @@
 	}
 }
 
-// CloseIdle closes all idle connections.
+// CloseIdle closes all idle connections, but for those on which a request has just come.
 func (f *Front) CloseIdle() {
 	for c := range f.conns {
-		if c.idle() {
+		if c.idle() && c.sock.Silent() {
 			c.drop()
 		}
 	}
@@ -403,6 +434,9 @@
 	if len(f.conns) > f.crowd {
 		keep = keepCrowded
 	}
+	if f.drained > 0 && now-f.drained > leaveFor {
+		f.CloseIdle()
+	}
 	for c := range f.conns {
 		age := now - c.since
 		switch {
@@ -421,7 +455,7 @@
 			if age > readFor {
 				c.bad(http1.StatusRequestTimeout, "the request did not come to its end")
 			}
-		case age > keep:
+		case age > keep && c.sock.Silent():
 			c.drop()
 		}
 	}
--- /dev/null
+++ b/internal/node/beside.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"log/slog"
+	"os"
+	"time"
+
+	"piernotch"
+	"piernotch/internal/core"
+	"piernotch/internal/discovery"
+	"piernotch/internal/handover"
+	"piernotch/internal/manage"
+	"piernotch/internal/sock"
+)
+
+const (
+	// lookEvery is how often the records of other processes are looked at, and keepEvery how
+	// old one's own may grow: what has been learnt and the list change all the time.
+	lookEvery = 25 * time.Millisecond
+	keepEvery = time.Second
+)
+
+// beside is this process among others of its balancer. Without a directory it is alone.
+type beside struct {
+	n         *Node
+	dir       *handover.Dir
+	self      handover.Standing
+	others    []handover.Standing // that are alive and could be read
+	alone     bool
+	looked    time.Duration
+	kept      time.Duration
+	succeeded bool // another can serve in this one's place
+}
+
+// enter makes this process known, takes over the list of another, and returns the others.
+func (n *Node) enter() ([]handover.Peer, error) {
+	b := &n.beside
+	b.n, b.alone = n, true
+	b.self = handover.Standing{Epoch: 1, PID: os.Getpid(), Phase: handover.Starting}
+	if n.cfg.StateDir == "" {
+		return nil, nil
+	}
+	dir, err := handover.Enter(n.cfg.StateDir, n.cfg.Name)
+	if err != nil {
+		return nil, err
+	}
+	b.dir = dir
+	peers := b.read()
+	var from *handover.Record
+	for i := range peers {
+		p := &peers[i]
+		b.self.Epoch = max(b.self.Epoch, p.Epoch+1)
+		usable := p.Err == nil && p.Members != nil && (p.Alive || p.Discovery == n.cfg.Discovery && p.Generation >= n.cfg.Known.Generation)
+		if usable && (from == nil || p.Epoch > from.Epoch) {
+			from = &p.Record
+		}
+	}
+	if from != nil {
+		n.takeOver(from)
+	}
+	return peers, nil
+}
+
+// takeOver starts from the list and the experience of another process.
+func (n *Node) takeOver(from *handover.Record) {
+	known := discovery.List{Generation: from.Generation, Reset: true}
+	for _, m := range from.Members {
+		zone := -1
+		for i, name := range n.cfg.Settings.Zones {
+			if name == m.Zone {
+				zone = i
+			}
+		}
+		known.Members = append(known.Members, core.Member{Name: m.Name, Address: m.Address, Entry: piernotch.Entry{
+			Zone: zone, Cell: m.Cell, State: m.State, Size: m.Size, Born: m.Born,
+		}})
+	}
+	n.cfg.Known, n.cfg.HasKnown = known, true
+	n.watcher.Resume(from.Generation, from.Discovery == n.cfg.Discovery)
+	n.emit(core.Learnt{Learnt: from.Learnt})
+	slog.Info("taking over", "from_pid", from.PID, "epoch", from.Epoch, "generation", from.Generation, "servers", len(known.Members))
+}
+
+// look follows the other processes.
+func (b *beside) look(now time.Duration) {
+	if b.dir == nil {
+		return
+	}
+	if now-b.looked >= lookEvery {
+		b.looked = now
+		b.merge(b.read())
+		b.stand()
+		b.n.limits()
+	}
+	if now-b.kept >= keepEvery {
+		b.keep()
+	}
+}
+
+func (b *beside) read() []handover.Peer {
+	peers, err := b.dir.Look()
+	if err != nil {
+		slog.Warn("other processes cannot be seen", "err", err)
+	}
+	return peers
+}
+
+// merge takes what others were told, and notes who there is.
+func (b *beside) merge(peers []handover.Peer) {
+	b.others = b.others[:0]
+	alone := true
+	for i := range peers {
+		p := &peers[i]
+		if p.Err == nil {
+			b.n.emit(core.Heard{Words: &p.Words})
+		}
+		if p.Alive {
+			alone = false
+			if p.Err == nil {
+				b.others = append(b.others, p.Standing)
+			}
+		}
+	}
+	if alone != b.alone {
+		b.alone = alone
+		slog.Info("processes of this balancer", "others", len(b.others), "pid", b.self.PID, "epoch", b.self.Epoch)
+	}
+	if alone {
+		b.n.core.PruneWords()
+	}
+}
+
+// advance notes how far this process is.
+func (b *beside) advance(to handover.Phase) {
+	if b.self.Phase == to || b.self.Phase == handover.Ending {
+		return
+	}
+	b.self.Phase = to
+	slog.Info("phase", "is", to, "pid", b.self.PID, "epoch", b.self.Epoch)
+	b.keep()
+	b.stand()
+}
+
+// stand accepts clients, or leaves them to another process.
+func (b *beside) stand() {
+	n := b.n
+	b.succeeded = b.self.Succeeded(b.others)
+	if n.cfg.ListenFD == 0 || n.stopped {
+		return
+	}
+	on := b.self.Accepts(b.others)
+	if on == n.listener.Accepting() {
+		return
+	}
+	slog.Info("accepting", "on", on, "pid", b.self.PID, "others", len(b.others))
+	if err := n.listener.Accept(on); err != nil {
+		slog.Error("inherited listener", "err", err)
+	}
+}
+
+// keep writes this process's record.
+func (b *beside) keep() {
+	if b.dir == nil {
+		return
+	}
+	n := b.n
+	b.kept = n.now()
+	r := handover.Record{
+		Standing: b.self, At: b.kept, Discovery: n.cfg.Discovery, Generation: n.watcher.Version(),
+		Words: n.core.Words(), Learnt: n.core.Learnt(),
+	}
+	if n.core.Listed() {
+		r.Members = []handover.Member{}
+	}
+	for _, m := range n.core.Listing() {
+		zone := ""
+		if z := m.Entry.Zone; z >= 0 && z < len(n.cfg.Settings.Zones) {
+			zone = n.cfg.Settings.Zones[z]
+		}
+		r.Members = append(r.Members, handover.Member{
+			Name: m.Name, Address: m.Address, Zone: zone, Cell: m.Entry.Cell, State: m.Entry.State, Size: m.Entry.Size, Born: m.Entry.Born,
+		})
+	}
+	if err := b.dir.Write(r); err != nil {
+		slog.Error("record for the next process not written", "err", err)
+	}
+}
+
+// limits keeps all processes of the balancer within its limits.
+func (n *Node) limits() {
+	b := &n.beside
+	sockets, memory := n.cfg.Sockets, int64(n.cfg.MemoryMB)<<20*6/10 // stacks, the runtime and the kernel's share come on top
+	if n.cfg.Management != "" {
+		sockets -= manage.Descriptors
+	}
+	switch {
+	case b.alone:
+	case len(b.others) == 0: // nothing is known of whoever is there
+		sockets, memory = sockets/2, memory/2
+	default:
+		sockets, memory = b.self.Share(b.others, sockets, n.engine.Open()+sock.Reserve), memory/2
+	}
+	if sockets != n.sockets {
+		n.sockets = sockets
+		n.engine.SetSockets(max(sockets, leastSockets))
+	}
+	if memory != n.memory && n.LimitMemory != nil {
+		n.memory = memory
+		n.LimitMemory(memory)
+	}
+	if d := sockets - b.self.Claim; d < 0 || d > 8 { // a record for each descriptor would be many
+		b.self.Claim = sockets
+		b.keep()
+	}
+}
+
+// leastSockets leaves room to serve, whatever the others hold.
+const leastSockets = sock.Reserve + 16
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,8 +13,11 @@
 	"piernotch/internal/core"
 	"piernotch/internal/discovery"
 	"piernotch/internal/front"
+	"piernotch/internal/handover"
+	"piernotch/internal/manage"
 	"piernotch/internal/sock"
 	"piernotch/internal/upstream"
+	"piernotch/internal/words"
 )
 
 // summaryEvery is the time between two lines of totals in the log.
@@ -26,23 +29,34 @@
 
 // Node is one balancer.
 type Node struct {
-	cfg      config.Config
-	engine   *sock.Engine
-	core     *core.Core
-	front    *front.Front
-	upstream *upstream.Upstream
-	watcher  *discovery.Watcher
-	epoch    time.Time     // when the clock was read
-	base     time.Duration // what it said, as Unix time
-	queue    []core.Event
-	head     int // how many of the queue have been taken
-	busy     bool
-	summary  time.Duration
-	mood     time.Duration // when what the module believes was last told
-	shed     time.Duration // when it was last logged that descriptors are short
-	exit     context.CancelFunc
-	recorder *recorder     // nil: nothing is recorded
-	leaving  time.Duration // when the core had nothing left to do; 0: it has
+	// LimitMemory, if set, is told how much the runtime may use, in bytes.
+	LimitMemory func(int64) int64
+
+	cfg       config.Config
+	next      config.Config // what was read again, until it is taken
+	engine    *sock.Engine
+	core      *core.Core
+	front     *front.Front
+	upstream  *upstream.Upstream
+	watcher   *discovery.Watcher
+	listener  *sock.Listener
+	manage    manage.Server
+	operators *sock.Listener // nil: no management address
+	beside    beside
+	stopped   bool          // no clients are accepted any more
+	sockets   int           // what this process may hold now
+	memory    int64         // and use, in bytes
+	epoch     time.Time     // when the clock was read
+	base      time.Duration // what it said, as Unix time
+	queue     []core.Event
+	head      int // how many of the queue have been taken
+	busy      bool
+	summary   time.Duration
+	mood      time.Duration // when what the module believes was last told
+	shed      time.Duration // when it was last logged that descriptors are short
+	exit      context.CancelFunc
+	recorder  *recorder     // nil: nothing is recorded
+	leaving   time.Duration // when the core had nothing left to do; 0: it has
 }
 
 // New returns a balancer that does not listen yet.
@@ -50,7 +64,7 @@
 	n := &Node{cfg: cfg, epoch: time.Now()}
 	n.base = time.Duration(n.epoch.UnixNano())
 	var err error
-	if n.core, err = core.New(cfg.Settings, cfg.Seed, n.now(), cfg.Discovery); err != nil {
+	if n.core, err = core.New(cfg.Settings, cfg.Seed, n.now(), cfg.Discovery, uint64(n.base)); err != nil {
 		return nil, err
 	}
 	if n.engine, err = sock.New(cfg.Sockets); err != nil {
@@ -60,7 +74,15 @@
 		return nil, err
 	}
 	n.upstream = upstream.New(n.engine, n.emit, n.now, cfg.KeepAlive, cfg.DialTimeout)
-	n.front = front.New(cfg.Settings, n.emit, n.now, func() bool { return n.core.Listed() && !n.core.Ending() }, cfg.Sockets)
+	n.front = front.New(n.emit, n.now, n.healthy, cfg.Sockets)
+	n.route(n.core.Routes())
+	n.listener = n.engine.Clients(n.front.Accepted)
+	n.manage = manage.Server{
+		Now: n.now, Ready: func() bool { return n.core.Listed() && !n.core.Ending() },
+		Do: func(call uint64, verb words.Verb, server string) {
+			n.emit(core.Operated{Call: call, Verb: verb, Server: server})
+		},
+	}
 	n.watcher = discovery.New(n.engine, n.emit, n.now, cfg.Discovery, cfg.Settings.Zones, cfg.Known.Generation)
 	n.engine.Shed = func(client bool) {
 		if now := n.now(); now-n.shed > time.Second { // it may go on for a while
@@ -79,63 +101,150 @@
 // read once and advanced by the monotonic clock so that it never jumps.
 func (n *Node) now() time.Duration { return n.base + time.Since(n.epoch) }
 
+// healthy is what the front of the clients is told. Where another process has taken over, this
+// one speaks for the two: the front may ask either.
+func (n *Node) healthy() bool {
+	return n.core.Listed() && !n.core.Drained() && (!n.core.Ending() || n.beside.succeeded)
+}
+
 // Start listens. Clients are served once Run is called.
 func (n *Node) Start() error {
+	peers, err := n.enter()
+	if err != nil {
+		return err
+	}
+	n.limits()
 	if n.cfg.HasKnown {
 		n.emit(core.Members{Kind: piernotch.ListCached, Entries: n.cfg.Known.Members})
 	} else {
 		n.emit(core.Ticked{})
 		n.watcher.Watch()
 	}
-	if err := n.engine.Listen(n.cfg.Listen, n.front.Accepted); err != nil {
-		return fmt.Errorf("listen: %w", err)
+	n.beside.merge(peers) // what was said is of servers that are listed by now
+	n.beside.keep()
+	if err := n.listen(); err != nil {
+		return err
 	}
-	slog.Info("serving", "name", n.cfg.Name, "listen", n.engine.Addr(), "discovery", n.cfg.Discovery,
+	slog.Info("serving", "name", n.cfg.Name, "listen", n.listener.Addr(), "management", n.cfg.Management, "discovery", n.cfg.Discovery,
 		"servers", len(n.cfg.Known.Members), "sockets", n.cfg.Sockets, "memory_mb", n.cfg.MemoryMB)
 	return nil
 }
 
+func (n *Node) listen() error {
+	if n.cfg.Management != "" {
+		n.operators = n.engine.Apart(manage.Connections, n.manage.Accepted, n.manage.Shed)
+		if err := n.operators.Listen(n.cfg.Management); err != nil {
+			return fmt.Errorf("management: %w", err)
+		}
+	}
+	if n.cfg.ListenFD == 0 {
+		if err := n.listener.Listen(n.cfg.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		return nil
+	}
+	if err := n.listener.Inherit(n.cfg.ListenFD); err != nil {
+		return fmt.Errorf("ROUTER_LISTEN_FD: descriptor %d: %w", n.cfg.ListenFD, err)
+	}
+	n.settle()
+	return nil
+}
+
+// settle notes when this process can serve.
+func (n *Node) settle() {
+	if n.core.Listed() && !n.core.Ending() {
+		n.beside.advance(handover.Ready)
+	}
+}
+
 // Addr is the address that is listened on.
-func (n *Node) Addr() string { return n.engine.Addr() }
+func (n *Node) Addr() string { return n.listener.Addr() }
+
+// Management is the operators' address, "" if there is none.
+func (n *Node) Management() string {
+	if n.operators == nil {
+		return ""
+	}
+	return n.operators.Addr()
+}
+
+func (n *Node) route(routes []core.Route) {
+	var waits []time.Duration
+	for _, c := range n.core.Settings().Classes {
+		waits = append(waits, c.Deadline)
+	}
+	n.front.Route(routes, waits)
+}
 
 // Run serves until the context ends or, after Terminate, nothing is owed.
 func (n *Node) Run(ctx context.Context) {
 	ctx, n.exit = context.WithCancel(ctx)
 	defer n.exit()
 	n.engine.Run(ctx, core.Tick, n.tick)
-	n.engine.StopListening()
+	n.stop()
+	if n.operators != nil {
+		n.operators.Stop()
+	}
+	if n.beside.dir != nil {
+		n.beside.keep()
+		n.beside.dir.Leave()
+	}
 	n.log("ended")
 	if n.recorder != nil {
 		n.recorder.close()
 	}
 }
 
+// stop accepts no clients any more.
+func (n *Node) stop() {
+	n.stopped = true
+	n.listener.Stop()
+}
+
 // Terminate begins an orderly end. It may be called from any goroutine.
 func (n *Node) Terminate() {
 	n.engine.Post(func() {
 		slog.Info("terminating", "owed", n.core.Owed(), "clients", n.front.Conns())
 		n.front.Terminate()
 		n.emit(core.Terminate{})
+		n.beside.advance(handover.Ending)
 	})
 }
 
-// Reload takes over what of a new configuration can change while the program
-// runs, which is discovery's address. It may be called from any goroutine.
+// Reload takes over what of a new configuration can change while the program runs, which is
+// the settings, the limits and discovery's address. It may be called from any goroutine.
 func (n *Node) Reload(cfg config.Config) {
 	n.engine.Post(func() {
-		slog.Info("configuration read again", "discovery", cfg.Discovery, "was", n.cfg.Discovery)
-		n.cfg.Discovery = cfg.Discovery
-		n.emit(core.Moved{Discovery: cfg.Discovery})
+		n.next = cfg
+		n.emit(core.Retuned{Settings: cfg.Settings, Discovery: cfg.Discovery})
 	})
 }
 
+// retuned takes the rest of a configuration whose settings were taken.
+func (n *Node) retuned(e core.Retuning) {
+	if e.Err != nil {
+		slog.Error("configuration not taken, the old one stands", "err", e.Err)
+		return
+	}
+	slog.Info("configuration read again", "discovery", n.next.Discovery, "was", n.cfg.Discovery,
+		"classes", len(n.next.Settings.Classes), "max_attempts", n.next.Settings.Limits.MaxAttempts)
+	n.cfg.Discovery, n.cfg.Settings = n.next.Discovery, n.next.Settings
+	n.cfg.Sockets, n.cfg.MemoryMB = n.next.Sockets, n.next.MemoryMB
+	n.upstream.Keep(n.next.KeepAlive, n.next.DialTimeout)
+	n.limits()
+	n.route(e.Routes)
+}
+
 func (n *Node) tick() {
 	n.emit(core.Ticked{})
 	n.front.Tick()
 	n.upstream.Tick()
 	n.watcher.Tick()
-	n.leave()
+	n.manage.Tick()
 	now := n.now()
+	n.settle()
+	n.beside.look(now)
+	n.leave()
 	if now-n.summary >= summaryEvery {
 		if n.summary > 0 {
 			n.log("totals")
@@ -148,15 +257,15 @@
 	}
 }
 
-// settle is how long the sockets get, once nothing is owed, for requests that
+// settleFor is how long the sockets get, once nothing is owed, for requests that
 // have arrived but were not read yet.
-const settle = 4 * core.Tick
+const settleFor = 4 * core.Tick
 
 // leave ends the program once the core is done and the sockets are: an answer
 // that is still in a buffer, or a request of which a part has come, would be lost.
 func (n *Node) leave() {
 	now := n.now()
-	if n.leaving == 0 || n.core.Owed() > 0 || now-n.leaving < settle {
+	if n.leaving == 0 || n.core.Owed() > 0 || now-n.leaving < settleFor {
 		return
 	}
 	n.front.CloseIdle()
@@ -219,11 +328,19 @@
 	case core.Forget:
 		n.upstream.Forget(e.To)
 	case core.StopListening:
-		n.engine.StopListening()
+		n.stop()
 		n.front.CloseIdle()
 	case core.Exit:
 		if n.leaving == 0 {
 			n.leaving = n.now()
 		}
+	case core.Keep:
+		n.beside.keep()
+	case core.Said:
+		n.manage.Said(e.Call, e.Err)
+	case core.Drain:
+		n.front.Drain(e.On)
+	case core.Retuning:
+		n.retuned(e)
 	}
 }
--- a/internal/node/stories_test.go
+++ b/internal/node/stories_test.go
@@ -74,6 +74,14 @@
 
 // start runs a balancer in front of the servers until the test ends.
 func start(t *testing.T, disco string, servers ...string) (*Node, chan struct{}) {
+	return startWith(t, func(*config.Config) {}, disco, servers...)
+}
+
+func startWith(t *testing.T, set func(*config.Config), disco string, servers ...string) (*Node, chan struct{}) {
+	return startIn(t, context.Background(), set, disco, servers...)
+}
+
+func startIn(t *testing.T, ctx context.Context, set func(*config.Config), disco string, servers ...string) (*Node, chan struct{}) {
 	aim, deadline := 2*time.Second, 5*time.Second
 	cfg := config.Config{
 		Name: "n", Listen: "127.0.0.1:0", Discovery: disco, Seed: 1, MemoryMB: 64, Sockets: 256,
@@ -91,10 +99,11 @@
 	var err error
 	cfg.Known, err = discovery.Parse([]byte(list(1, true, "in_service", servers...)), cfg.Settings.Zones)
 	require.NoError(t, err)
+	set(&cfg)
 	n, err := New(cfg)
 	require.NoError(t, err)
 	require.NoError(t, n.Start())
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() { n.Run(ctx); close(done) }()
 	t.Cleanup(func() { stop(); <-done })
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -46,12 +47,12 @@
 type Conn struct {
 	nb      *nbio.Conn
 	handler Handler
+	count   *atomic.Int64 // where it is counted as open; nil: no more
 	queued  int64
 	written atomic.Int64 // bytes that the kernel has taken
 	unread  atomic.Int32 // pieces of data on their way to the handler
 	deaf    atomic.Bool  // what still comes is thrown away
 	closed  bool
-	counted bool // in Engine.open
 }
 
 // mail is one thing that has happened: f, or else data on a connection.
@@ -67,26 +68,26 @@
 	// spared, for a new client or for a connection to a feed server.
 	Shed func(client bool)
 
-	nb       *nbio.Engine
-	mu       sync.Mutex
-	room     *sync.Cond // mail has been looked at
-	mail     []mail
-	bytes    int // of the data in mail
-	wake     chan struct{}
-	buffers  sync.Pool
-	open     atomic.Int64
-	budget   int64
-	listener net.Listener
+	nb      *nbio.Engine
+	mu      sync.Mutex
+	room    *sync.Cond // mail has been looked at
+	mail    []mail
+	bytes   int // of the data in mail
+	wake    chan struct{}
+	buffers sync.Pool
+	open    atomic.Int64
+	budget  atomic.Int64
 }
 
-// New starts an engine that holds at most sockets descriptors.
+// New starts an engine that holds at most sockets descriptors, those of listeners of their own
+// count not included.
 func New(sockets int) (*Engine, error) {
 	logging.SetLevel(logging.LevelNone) // what matters of nbio's log is logged here
 	// nbio keeps a table by descriptor number and refuses what lies beyond it.
 	// The budget is kept here; the table only has to be large enough.
 	nbio.MaxOpenFiles = max(4*sockets, 1<<14)
 	e := &Engine{
-		wake: make(chan struct{}, 1), budget: int64(sockets - Reserve), Shed: func(bool) {},
+		wake: make(chan struct{}, 1), Shed: func(bool) {},
 		buffers: sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }},
 		nb: nbio.NewEngine(nbio.Config{
 			Name: "piernotch", NPoller: 1, ReadBufferSize: readSize, MaxWriteBufferSize: 512 << 10,
@@ -94,6 +95,7 @@
 		}),
 	}
 	e.room = sync.NewCond(&e.mu)
+	e.SetSockets(sockets)
 	e.nb.OnOpen(func(*nbio.Conn) {})
 	e.nb.OnData(func(nc *nbio.Conn, data []byte) {
 		if c, ok := nc.Session().(*Conn); ok {
@@ -198,14 +200,23 @@
 	e.nudge()
 }
 
+// SetSockets has the engine hold at most so many descriptors from now on. What is open stays
+// open, but for what can be spared.
+func (e *Engine) SetSockets(sockets int) {
+	e.budget.Store(int64(sockets - Reserve))
+	if e.open.Load() > int64(sockets-Reserve) {
+		e.Post(func() { e.Shed(false) })
+	}
+}
+
 // Open returns how many sockets are open.
 func (e *Engine) Open() int { return int(e.open.Load()) }
 
 // release takes a connection out of the count, once however it ended.
 func (e *Engine) release(c *Conn) {
-	if c.counted {
-		c.counted = false
-		e.open.Add(-1)
+	if c.count != nil {
+		c.count.Add(-1)
+		c.count = nil
 	}
 }
 
@@ -233,9 +244,9 @@
 // dial reports a refused connection as made, and a time-out that it sets may
 // strike after the connection is up; so the dial is net's and the rest nbio's.
 func (e *Engine) Dial(addr string, timeout time.Duration, h func(*Conn) Handler, done func(*Conn, error)) {
-	if e.open.Load() >= e.budget {
+	if budget := e.budget.Load(); e.open.Load() >= budget {
 		e.Shed(false)
-		if e.open.Load() >= e.budget+Reserve/4 { // closes take a moment to count
+		if e.open.Load() >= budget+Reserve/4 { // closes take a moment to count
 			e.Post(func() { done(nil, ErrShort) })
 			return
 		}
@@ -248,7 +259,7 @@
 			e.Post(func() { done(nil, err) })
 			return
 		}
-		c := &Conn{counted: true}
+		c := &Conn{count: &e.open}
 		e.Post(func() { // set up where the state lives, before a byte is read
 			c.handler = h(c)
 			if err := e.adopt(nc, c); err != nil {
@@ -261,43 +272,122 @@
 	}()
 }
 
-// Listen accepts connections on addr until StopListening.
-func (e *Engine) Listen(addr string, accepted func(*Conn) Handler) error {
-	l, err := net.Listen("tcp", addr)
+// Listener accepts connections.
+type Listener struct {
+	e        *Engine
+	accepted func(*Conn) Handler
+	open     *atomic.Int64 // where its connections are counted
+	most     func() int64  // no more are accepted while so many are open
+	shed     func()        // is to close what can be spared then
+
+	mu   sync.Mutex
+	file *os.File     // a socket that somebody else holds, too; nil: its own
+	l    net.Listener // nil: not accepting
+	addr string
+}
+
+// Clients is what a listener for clients goes by: its connections are the engine's, and room
+// is kept for feed servers. A client taken in but not served is worse off than one that waits
+// in the listener's queue.
+func (e *Engine) Clients(accepted func(*Conn) Handler) *Listener {
+	return &Listener{
+		e: e, accepted: accepted, open: &e.open, most: func() int64 { return e.budget.Load() * 3 / 4 },
+		shed: func() { e.Shed(true) },
+	}
+}
+
+// Apart is a listener whose connections are counted on their own; shed has to close one when
+// most are open.
+func (e *Engine) Apart(most int, accepted func(*Conn) Handler, shed func()) *Listener {
+	return &Listener{e: e, accepted: accepted, open: new(atomic.Int64), most: func() int64 { return int64(most) }, shed: shed}
+}
+
+// Listen binds addr, an IP address and port, and accepts.
+func (l *Listener) Listen(addr string) error {
+	nl, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	e.listener = l
-	go e.accept(l, accepted)
+	l.serve(nl)
 	return nil
 }
 
+// Inherit takes over a listening socket, which others may hold as well. It does not accept yet.
+func (l *Listener) Inherit(fd int) error {
+	f := os.NewFile(uintptr(fd), "inherited listener")
+	nl, err := net.FileListener(f) // nil if fd is no descriptor
+	if err != nil {
+		return err
+	}
+	l.file, l.addr = f, nl.Addr().String()
+	return nl.Close()
+}
+
+// Accept has an inherited socket accepted from, or left to its other holders: connections
+// wait in the kernel until one of them takes them.
+func (l *Listener) Accept(on bool) error {
+	if !on {
+		l.Stop()
+		return nil
+	}
+	if l.Accepting() {
+		return nil
+	}
+	nl, err := net.FileListener(l.file)
+	if err == nil {
+		l.serve(nl)
+	}
+	return err
+}
+
+// Accepting tells whether connections are accepted.
+func (l *Listener) Accepting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.l != nil
+}
+
 // Addr returns the address that is listened on.
-func (e *Engine) Addr() string { return e.listener.Addr().String() }
+func (l *Listener) Addr() string { return l.addr }
+
+// Stop ends accepting. A connection that has been accepted is still handed over.
+func (l *Listener) Stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.l != nil {
+		_ = l.l.Close()
+		l.l = nil
+	}
+}
+
+func (l *Listener) serve(nl net.Listener) {
+	l.mu.Lock()
+	l.l, l.addr = nl, nl.Addr().String()
+	l.mu.Unlock()
+	go l.run(nl)
+}
 
-func (e *Engine) accept(l net.Listener, accepted func(*Conn) Handler) {
+func (l *Listener) run(nl net.Listener) {
 	for {
-		// Room is kept for feed servers: a client taken in but not served is
-		// worse off than one that waits in the listener's queue.
-		for e.open.Load() >= e.budget*3/4 {
-			e.Post(func() { e.Shed(true) })
+		for l.open.Load() >= l.most() {
+			l.e.Post(l.shed)
 			time.Sleep(5 * time.Millisecond)
 		}
-		nc, err := l.Accept()
+		nc, err := nl.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil { // out of descriptors, most likely: others must close first
 			slog.Warn("accept failed", "err", err)
-			e.Post(func() { e.Shed(true) })
+			l.e.Post(l.shed)
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		e.open.Add(1)
-		c := &Conn{counted: true}
-		e.Post(func() {
-			c.handler = accepted(c)
-			if err := e.adopt(nc, c); err != nil {
+		l.open.Add(1)
+		c := &Conn{count: l.open}
+		l.e.Post(func() {
+			c.handler = l.accepted(c)
+			if err := l.e.adopt(nc, c); err != nil {
 				slog.Warn("connection not taken over", "err", err)
 				c.ended(err)
 			}
@@ -305,13 +395,6 @@
 	}
 }
 
-// StopListening closes the listener.
-func (e *Engine) StopListening() {
-	if e.listener != nil {
-		_ = e.listener.Close()
-	}
-}
-
 // deliver hands over data. A panic ends this connection and no other.
 func (c *Conn) deliver(data []byte) {
 	if c.closed {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -134,12 +134,17 @@
 // New returns empty pools. Idle connections are closed well before keepAlive,
 // when the feed server closes them: a request that crosses such a close is lost.
 func New(engine *sock.Engine, emit func(core.Event), now func() time.Duration, keepAlive, dialFor time.Duration) *Upstream {
-	return &Upstream{
-		engine: engine, emit: emit, now: now, keep: keepAlive * 3 / 4, dialFor: dialFor,
+	u := &Upstream{
+		engine: engine, emit: emit, now: now,
 		pools: map[core.Place]*pool{}, errands: map[core.Ref]*errand{}, probes: map[*errand]struct{}{},
 	}
+	u.Keep(keepAlive, dialFor)
+	return u
 }
 
+// Keep sets how long a feed server keeps an idle connection, and how long one may take to come up.
+func (u *Upstream) Keep(keepAlive, dialFor time.Duration) { u.keep, u.dialFor = keepAlive*3/4, dialFor }
+
 func (u *Upstream) pool(to core.Place) *pool {
 	p := u.pools[to]
 	if p == nil {
--- /dev/null
+++ b/maintenance_test.go
@@ -0,0 +1,84 @@
+package piernotch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Nothing goes to a backend that is left out, whatever the list says of it meanwhile; back in,
+// it is as cold as one that has just started, and is used again at once.
+func TestWhatIsLeftOutGetsNothingAndComesBackCold(t *testing.T) {
+	s := settings()
+	list := fleet(2, 1)
+	b, h := start(t, s, list)
+	b.Exclude(0, list[0].ID)
+	b.Exclude(0, list[0].ID) // a call may arrive twice
+	id := RequestID(1)
+	serve := func(now time.Duration) BackendID {
+		b.Request(now, ask(id, safeClass, 1))
+		to := h.last()
+		require.Equal(t, id, to.id)
+		end(b, now+ms, id, 0, to.to, OK)
+		id++
+		return to.to
+	}
+	for _, kind := range []ListKind{ListDelta, ListFull, ListCached} {
+		b.List(ms, kind, list)
+		for range 8 {
+			require.Equal(t, list[1].ID, serve(ms))
+		}
+	}
+	b.List(ms, ListFull, list[1:]) // gone
+	b.List(ms, ListFull, list)     // and back
+	require.Equal(t, list[1].ID, serve(ms))
+	require.Equal(t, list[1].ID, serve(ms))
+
+	b.Include(time.Second, list[0].ID, time.Second)
+	require.GreaterOrEqual(t, b.backends[list[0].ID].coldSince, time.Duration(0))
+	used := false
+	for now := time.Second; now < 6*time.Second; now += 100 * ms {
+		b.Timer(now, sweepToken)
+		used = used || serve(now) == list[0].ID
+	}
+	require.True(t, used)
+}
+
+func TestOtherSettingsWhileRequestsAreUnderWay(t *testing.T) {
+	s := settings()
+	b, h := start(t, s, fleet(3, 1))
+	b.Request(0, ask(1, safeClass, 1))
+	first := h.last().to
+	next := s
+	next.Classes = append([]Class(nil), s.Classes...)
+	next.Classes[safeClass].Effect = Unsafe
+	next.Classes = append(next.Classes, Class{Name: "new", Aim: 500 * ms, Deadline: time.Second, Worth: 9, Effect: Unsafe})
+	next.Limits.MaxAttempts = 1
+
+	bad := next
+	bad.Classes = bad.Classes[:1]
+	require.ErrorContains(t, b.Retune(0, bad), "keep their places")
+	bad = next
+	bad.Limits.MaxAttempts = 0
+	require.Error(t, b.Retune(0, bad))
+	require.Equal(t, s.Limits.MaxAttempts, b.set.Limits.MaxAttempts, "nothing of it is taken")
+
+	require.NoError(t, b.Retune(0, next))
+	b.Request(ms, ask(2, len(next.Classes)-1, 1))
+	require.Equal(t, RequestID(2), h.last().id)
+	end(b, 2*ms, 1, 0, first, Reset) // it may have run: its class allows another, the settings do not
+	require.Len(t, h.sent, 2)
+	require.Equal(t, []RequestID{1}, h.refused, "it came as safe, and refusing it is true")
+	require.Empty(t, h.failed)
+}
+
+func TestWhatAnotherProxyHasLearntIsTakenOnce(t *testing.T) {
+	b, _ := start(t, settings(), fleet(2, 1))
+	b.Resume(Learnt{Median: -1, MeanWork: 2, LargeShare: 0.5})
+	require.Zero(t, b.median)
+	b.Resume(Learnt{Median: 50, MeanWork: 80, LargeShare: 0.7, Usual: 3})
+	require.Equal(t, Learnt{50, 80, 0.7, 3}, b.Learnt())
+	b.Resume(Learnt{Median: 1, MeanWork: 1})
+	require.Equal(t, 50.0, b.median, "its own experience goes before")
+}
--- a/state.go
+++ b/state.go
@@ -20,9 +20,10 @@
 	shortAim time.Duration
 
 	backends map[BackendID]*backend
-	sorted   []*backend // by id, all that are not gone
-	groups   [2]group   // own zone, other zones
-	dirty    bool       // the groups no longer match the list and the ejections
+	excluded map[BackendID]bool // left out by operators, listed or not
+	sorted   []*backend         // by id, all that are not gone
+	groups   [2]group           // own zone, other zones
+	dirty    bool               // the groups no longer match the list and the ejections
 
 	open   []*request // every request that is owed an answer or has attempts out
 	byID   map[RequestID]*request
@@ -101,6 +102,7 @@
 
 type backend struct {
 	Entry
+	excluded  bool    // left out by operators
 	salt      uint64  // of its id, for keys
 	away      int     // 0 own zone, 1 elsewhere: its index in groups
 	rank      float64 // of a draw, by which proxies share out the spill to it
@@ -139,7 +141,8 @@
 	Request
 	class    *Class
 	band     int
-	at       int // index in open
+	over     bool // beyond its tenant's share
+	at       int  // index in open
 	work     float64
 	lane     int
 	aim      time.Duration
