--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -30,6 +30,7 @@
 	Model    modelCmd    `cmd:"" help:"Play scenarios in simulated time."`
 	Rehearse rehearseCmd `cmd:"" help:"Play a scenario on real sockets: balancers as processes, stand-in servers, roster and clients."`
 	Drill    drillCmd    `cmd:"" help:"Play the failures that a service must get over by itself, and say how long it took."`
+	Handover handoverCmd `cmd:"" help:"Hand balancers over to processes beside them, again and again, under load and with faults."`
 	Emulate  emulateCmd  `cmd:"" help:"Stand-in feed servers and a roster alone, for any balancer."`
 	Load     loadCmd     `cmd:"" help:"Clients alone, for any balancer."`
 	Plot     plotCmd     `cmd:"" help:"Draw a result (.svg, .png) or make a report of it (.html)."`
--- a/internal/emulator/roster.go
+++ b/internal/emulator/roster.go
@@ -223,6 +223,18 @@
 	return out, servers
 }
 
+// Ready returns a server that is listed as ready, and its name; false: none is.
+func (r *Roster) Ready() (server int, name string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, s := range r.fleet.servers {
+		if e := r.entries[i]; e != nil && e.state == piernotch.Ready {
+			return i, s.name, true
+		}
+	}
+	return 0, "", false
+}
+
 // Known is the whole list as JSON, as a balancer's configuration holds it.
 func (r *Roster) Known() json.RawMessage {
 	r.mu.Lock()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -63,6 +63,7 @@
 	tally *tally.Tally
 	late  *hdrhistogram.Histogram // of sending after the due time, us
 	ends  [Unreached + 1]int
+	cross int
 	tries int
 	pools map[string][]*conn
 }
@@ -80,6 +81,7 @@
 // Counts are the clients' totals.
 type Counts struct {
 	Tries, Served, Refused, Failed, Unanswered, Broken, Unreached int
+	Crossed                                                       int // requests that were sent again: a kept connection was closed under them
 }
 
 // Run sends all arrivals at their times and returns when the last has ended, or soon
@@ -130,7 +132,7 @@
 func (c *Clients) Counts() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Counts{c.tries, c.ends[Served], c.ends[Refused], c.ends[Failed], c.ends[Unanswered], c.ends[Broken], c.ends[Unreached]}
+	return Counts{c.tries, c.ends[Served], c.ends[Refused], c.ends[Failed], c.ends[Unanswered], c.ends[Broken], c.ends[Unreached], c.cross}
 }
 
 // ask is one client with one request and its tries.
@@ -204,6 +206,9 @@
 		answer, advice, crossed := c.exchange(k, a, id, left)
 		if crossed && k.used && !fresh {
 			c.Watch.Ended(id, Unreached)
+			c.mu.Lock()
+			c.cross++
+			c.mu.Unlock()
 			continue
 		}
 		c.Watch.Ended(id, answer)
--- a/internal/rehearse/judge.go
+++ b/internal/rehearse/judge.go
@@ -126,6 +126,13 @@
 	j.audit.Restarted(balancer)
 }
 
+// Revived says that what was Killed of a balancer is gone, and another process of it serves on.
+func (j *Judge) Revived(balancer int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.dying, balancer)
+}
+
 // Sent implements emulator.Observer.
 func (j *Judge) Sent(id string, server int) int {
 	j.mu.Lock()
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -28,14 +28,22 @@
 	dir     string
 	address string
 	config  string
+	door    *door // nil: it binds its address itself
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	done   chan struct{}
-	killed bool // by the rig
-	front  bool // clients are sent here
-	crash  string
-	cpu    time.Duration // of ended processes
+	handing sync.Mutex // held while a hand-over goes on
+	mu      sync.Mutex
+	run     *run // the process that clients meet, or the last one
+	front   bool // clients are sent here
+	crash   string
+	cpu     time.Duration // of ended processes
+}
+
+// run is one start of the program.
+type run struct {
+	cmd        *exec.Cmd
+	done       chan struct{} // closed at its end
+	management string        // the operators' address; "": none
+	told       bool          // to end, by the rig
 }
 
 // limits is what a balancer may use.
@@ -81,33 +89,53 @@
 	return os.WriteFile(p.config, data, 0o600)
 }
 
-// start begins the process and waits until it is ready.
-func (p *process) start(ctx context.Context) error {
+// current is the process that clients meet.
+func (p *process) current() *run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.run
+}
+
+// spawn starts the program.
+func (p *process) spawn() (*run, error) {
 	log, err := os.OpenFile(filepath.Join(p.dir, fmt.Sprintf("n%d.log", p.number)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer log.Close()
-	cmd := exec.Command(p.program)
-	cmd.Env = append(append(os.Environ(), p.env...), "ROUTER_CONFIG="+p.config, "PIERNOTCH_CONFIG=")
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("balancer %d: %w", p.number, err)
+	u := &run{cmd: exec.Command(p.program), done: make(chan struct{})}
+	if u.cmd.Env, u.management, err = p.environment(); err != nil {
+		return nil, err
+	}
+	if p.door != nil {
+		u.cmd.ExtraFiles = []*os.File{p.door.file}
+	}
+	u.cmd.Stdout, u.cmd.Stderr = log, log
+	if err := u.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("balancer %d: %w", p.number, err)
 	}
-	done := make(chan struct{})
-	p.mu.Lock()
-	p.cmd, p.done, p.killed = cmd, done, false
-	p.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
+		err := u.cmd.Wait()
 		p.mu.Lock()
-		p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
-		if p.cmd == cmd && !p.killed { // the front notices neither end by itself
+		p.cpu += u.cmd.ProcessState.UserTime() + u.cmd.ProcessState.SystemTime()
+		if p.run == u && !u.told { // the front notices neither end by itself
 			p.crash = fmt.Sprintf("balancer %d ended by itself: %v%s", p.number, err, p.lastLines())
 		}
 		p.mu.Unlock()
-		close(done)
+		close(u.done)
 	}()
+	return u, nil
+}
+
+// start begins the process and waits until it is ready.
+func (p *process) start(ctx context.Context) error {
+	u, err := p.spawn()
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.run = u
+	p.mu.Unlock()
 	client := &http.Client{Timeout: time.Second}
 	for range 200 {
 		resp, err := client.Get("http://" + p.address + "/_health")
@@ -118,7 +146,7 @@
 			}
 		}
 		select {
-		case <-done:
+		case <-u.done:
 			return fmt.Errorf("balancer %d did not start%s", p.number, p.lastLines())
 		case <-ctx.Done():
 			return ctx.Err()
@@ -142,16 +170,16 @@
 func (p *process) signal(s syscall.Signal) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd == nil {
+	if p.run == nil {
 		closed := make(chan struct{})
 		close(closed)
 		return closed
 	}
 	if s != syscall.SIGHUP {
-		p.killed = true
+		p.run.told = true
 	}
-	_ = p.cmd.Process.Signal(s)
-	return p.done
+	_ = p.run.cmd.Process.Signal(s)
+	return p.run.done
 }
 
 // usage is what the process uses now.
@@ -166,18 +194,18 @@
 
 func (p *process) usage() usage {
 	p.mu.Lock()
-	cmd, done, total := p.cmd, p.done, p.cpu
+	now, total := p.run, p.cpu
 	p.mu.Unlock()
 	u := usage{CPU: total}
-	if cmd == nil {
+	if now == nil {
 		return u
 	}
 	select {
-	case <-done:
+	case <-now.done:
 		return u
 	default:
 	}
-	dir := "/proc/" + strconv.Itoa(cmd.Process.Pid)
+	dir := "/proc/" + strconv.Itoa(now.cmd.Process.Pid)
 	if data, err := os.ReadFile(dir + "/stat"); err == nil {
 		// Fields behind the name, which may hold spaces: user and system time are 12th and 13th.
 		if f := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:])); len(f) > 13 {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -23,7 +23,9 @@
 	MemoryMB int      // of each balancer; 0: 192
 	Sockets  int      // of each balancer; 0: 1024
 	Env      []string // of the balancers, on top of this program's own
-	Logs     string   // directory for configurations and logs; none: one that is removed
+	// HandOvers are played, too: then each balancer's socket is held by the rig, and inherited.
+	HandOvers []HandOver
+	Logs      string // directory for configurations and logs; none: one that is removed
 }
 
 // Quarter is what a balancer used in a quarter of the day.
@@ -43,6 +45,8 @@
 	CPUPerAnswer float64     `json:"cpu_us_per_request"`
 	Balancers    [][]Quarter `json:"balancers"`
 
+	Handed *Handed `json:"handed,omitempty"` // what came of the hand-overs
+
 	Rude map[string]load.RudeCount `json:"rude,omitempty"` // by what they sent
 }
 
@@ -58,6 +62,8 @@
 	procs  []*process
 	limits limits
 	rude   load.Rude
+	hand   *Handed
+	over   sync.WaitGroup // hand-overs that go on
 	mu     sync.Mutex
 	err    error
 }
@@ -93,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{day: day, limits: limits{1, opts.MemoryMB, opts.Sockets}}
+	r := &rig{day: day, limits: limits{1, opts.MemoryMB, opts.Sockets}, hand: &Handed{Done: map[Way]int{}}}
 	where := func(of func(scenario.Server) int) func(int) int {
 		return func(i int) int { return of(r.fleet.Spec(i)) }
 	}
@@ -109,6 +115,12 @@
 			return nil, err
 		}
 		r.procs = append(r.procs, p)
+		if len(opts.HandOvers) > 0 {
+			if err := p.openDoor(); err != nil {
+				return nil, err
+			}
+			defer p.door.file.Close()
+		}
 		if err := r.launch(ctx, p); err != nil {
 			return nil, err
 		}
@@ -118,13 +130,25 @@
 	clients := &load.Clients{Day: day, Arrivals: arrivals, Watch: r.judge, Front: r.front, Clock: r.clock}
 	r.fleet.Play(ctx)
 	r.script(ctx)
+	for _, h := range opts.HandOvers {
+		r.over.Go(func() {
+			sleep(ctx, h.At-r.clock())
+			if err := r.handOver(ctx, r.procs[h.Balancer], h); err != nil && ctx.Err() == nil {
+				r.failed(err)
+			}
+		})
+	}
 	quarters := make(chan [][]Quarter)
 	stop := make(chan struct{})
 	go func() { quarters <- r.sample(stop) }()
 	clients.Run(ctx)
+	r.over.Wait()
 	close(stop)
 	report := r.report(clients, <-quarters)
 	report.Rude = r.rude.Counts()
+	if len(opts.HandOvers) > 0 {
+		report.Handed = r.hand
+	}
 	if r.err == nil {
 		r.err = r.fleet.Err()
 	}
@@ -266,7 +290,7 @@
 func (p *process) signalled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.killed
+	return p.run.told
 }
 
 // sample looks at the balancers twice a second and sums up by quarters.
