Use cold servers of zones without balancers from elsewhere

Cause: 'may' keeps cold servers to balancers of their own zone; two balancers of four zones leave two zones in which nobody may warm a server until it counts as warm, 24 s later. Ruled out: the calls (all answered, none late) and the exclusion itself (lifted at once in the log).

Change: where there are fewer balancers than zones, a cold server elsewhere may be sent to, at the pace of a balancer's share among all of them. The test fails without it.

--- a/balancer.go
+++ b/balancer.go
@@ -326,8 +326,8 @@
 	}
 	// A cold backend is paced by itself, whatever the state of the others. Many
 	// proxies at once sending it one heavy request each would push it over, and so
-	// would those of other zones, which it does not need.
-	if r.work > b.meanWork || to.away == 1 && len(b.groups[0].members) > 0 {
+	// would those of other zones, which it does not need if it has proxies of its own.
+	if r.work > b.meanWork || to.away == 1 && len(b.groups[0].members) > 0 && !b.sparse() {
 		return false
 	}
 	// One request at a time, so that it is never sent more than it gets done.
@@ -347,6 +347,10 @@
 // many tells whether there are too many proxies for the bounds on their own to do.
 func (b *Balancer) many() bool { return float64(b.set.Proxies) > ownBounds*float64(len(b.set.Zones)) }
 
+// sparse tells whether there are zones without a proxy: a cold backend there would not get
+// anything from anyone until it counts as warm.
+func (b *Balancer) sparse() bool { return b.set.Proxies < len(b.set.Zones) }
+
 // triable tells whether an ejected backend may have its trial: paused and, if allowed, probed.
 func (b *Balancer) triable(now time.Duration, to *backend) bool {
 	return now >= to.retryAt && (to.probed || !b.set.Limits.Probes)
@@ -422,6 +426,9 @@
 	switch {
 	case b.window == 0:
 		perSec = coldSpeed * max(b.warmRate(now), perSec)
+		if to.away == 1 && len(b.groups[0].members) > 0 {
+			perSec /= float64(b.set.Proxies) // all of them may send there
+		}
 	case perSec == 0: // nothing was ever said
 		perSec = b.warmRate(now)
 	}
--- a/maintenance_test.go
+++ b/maintenance_test.go
@@ -82,3 +82,39 @@
 	b.Resume(Learnt{Median: 1, MeanWork: 1})
 	require.Equal(t, 50.0, b.median, "its own experience goes before")
 }
+
+// Where there are fewer proxies than zones, a cold backend of a zone that has none is everybody's:
+// left alone, it would get nothing until it counts as warm.
+func TestAColdBackendOfAZoneWithoutProxiesIsUsed(t *testing.T) {
+	for _, c := range []struct {
+		zones []string
+		used  bool
+	}{{[]string{"a", "b"}, false}, {[]string{"a", "b", "c", "d"}, true}} {
+		s := settings()
+		s.Zones = c.zones
+		list := fleet(1, len(c.zones))
+		for i := 1; i < len(list); i++ {
+			list[i].Born = 900 * ms
+		}
+		b, h := start(t, s, list)
+		away := 0
+		for i := range 400 {
+			now := time.Second + time.Duration(i)*10*ms
+			first := len(h.sent)
+			for k := range 4 { // more than the own zone takes at once
+				r := ask(RequestID(4*i+k), safeClass, 10)
+				r.Deadline = now + time.Second
+				b.Request(now, r)
+			}
+			for _, at := range h.sent[first:] {
+				if at.to != list[0].ID {
+					away++
+				}
+				end(b, now+5*ms, at.id, 0, at.to, OK)
+			}
+			b.Timer(now+6*ms, sweepToken)
+		}
+		require.Equal(t, c.used, away > 0, c.zones)
+		require.Less(t, away, 300, "and still sent little")
+	}
+}
