--- a/balancer.go
+++ b/balancer.go
@@ -119,7 +119,7 @@
 // hold lets a request wait for the next sweep, unless that would come too late.
 func (b *Balancer) hold(now time.Duration, r *request) {
 	needs := min(time.Duration(r.work*b.pace*float64(time.Millisecond)), r.class.Aim/2)
-	if now+2*b.sweep >= min(b.lastMoment(r)-needs, r.patience) {
+	if now+2*b.sweep >= min(b.lastMoment(r)-needs, r.patience) || b.crowdedOut(now, r) {
 		b.finish(r)
 	}
 }
