--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -97,11 +97,13 @@
 	require.Empty(t, look(next))
 
 	// A record that is torn, or that is another's under this name, counts for nothing.
-	for _, text := range []string{"piernotch-handover 1 00 5\nhello", ""} {
+	other, err := Encode(Record{Name: "n2"})
+	require.NoError(t, err)
+	for text, want := range map[string]string{"piernotch-handover 1 00 5\nhello": "torn", "": "torn", string(other): "another balancer"} {
 		third, err := Enter(path, "n1")
 		require.NoError(t, err)
 		require.NoError(t, os.WriteFile(third.file(third.own, recordEnding), []byte(text), 0o600))
-		require.ErrorIs(t, look(next)[0].Err, ErrTorn)
+		require.ErrorContains(t, look(next)[0].Err, want)
 		third.Leave()
 		require.Len(t, look(next), 1)
 	}
