--- a/cmd/notchlab/drill.go
+++ b/cmd/notchlab/drill.go
@@ -10,10 +10,10 @@
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
-	"piernotch/internal/experiment"
-	"piernotch/internal/model"
-	"piernotch/internal/rehearse"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/experiment"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/rehearse"
+	"piernotch/internal/lab/scenario"
 )
 
 type drillCmd struct {
--- a/cmd/notchlab/handover.go
+++ b/cmd/notchlab/handover.go
@@ -7,8 +7,8 @@
 	"path/filepath"
 	"time"
 
-	"piernotch/internal/model"
-	"piernotch/internal/rehearse"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/rehearse"
 )
 
 type handoverCmd struct {
--- a/cmd/notchlab/logs.go
+++ b/cmd/notchlab/logs.go
@@ -6,7 +6,7 @@
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
-	"piernotch/internal/logread"
+	"piernotch/internal/lab/logread"
 )
 
 type logsCmd struct {
--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 )
 
 // Exit codes.
--- a/cmd/notchlab/model.go
+++ b/cmd/notchlab/model.go
@@ -11,9 +11,9 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/schollz/progressbar/v3"
 
-	"piernotch/internal/experiment"
-	"piernotch/internal/model"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/experiment"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/scenario"
 	"piernotch/internal/trace"
 )
 
--- a/cmd/notchlab/rehearse.go
+++ b/cmd/notchlab/rehearse.go
@@ -14,12 +14,12 @@
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
-	"piernotch/internal/emulator"
-	"piernotch/internal/experiment"
-	"piernotch/internal/load"
-	"piernotch/internal/model"
-	"piernotch/internal/rehearse"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/emulator"
+	"piernotch/internal/lab/experiment"
+	"piernotch/internal/lab/load"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/rehearse"
+	"piernotch/internal/lab/scenario"
 )
 
 // day reads a scenario for the commands that play on sockets.
--- a/cmd/piernotch/main.go
+++ b/cmd/piernotch/main.go
@@ -14,9 +14,9 @@
 
 	"github.com/alecthomas/kong"
 
-	"piernotch/internal/config"
 	"piernotch/internal/logs"
-	"piernotch/internal/node"
+	"piernotch/internal/serve/config"
+	"piernotch/internal/serve/node"
 )
 
 type cli struct {
--- a/internal/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/idtable"
+	"piernotch/internal/lab/idtable"
 )
 
 // Rule is one of the four rules.
--- a/internal/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
-	"piernotch/internal/discovery"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
+	"piernotch/internal/serve/discovery"
 )
 
 const patience = 20 * time.Second
--- a/internal/emulator/fleet.go
+++ b/internal/lab/emulator/fleet.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/fleet"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/fleet"
+	"piernotch/internal/lab/scenario"
 )
 
 // Fleet is the stand-in feed servers of a day and their roster.
--- a/internal/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -1,4 +1,4 @@
-// Package emulator puts the physics of internal/fleet behind sockets: stand-in feed
+// Package emulator puts the physics of internal/lab/fleet behind sockets: stand-in feed
 // servers and a stand-in roster on loopback, scripted by the same scenario files as the
 // model. Work is waited for, not burnt, so that hundreds of servers fit on a core.
 package emulator
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"piernotch/internal/fleet"
 	"piernotch/internal/http1"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/fleet"
+	"piernotch/internal/lab/scenario"
 )
 
 // Observer is told what servers and roster see. Its methods may be called from any
--- a/internal/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -18,8 +18,8 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"piernotch/internal/model"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/scenario"
 )
 
 // Format names the layout of a result file.
--- a/internal/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"piernotch/internal/audit"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/audit"
+	"piernotch/internal/lab/scenario"
 )
 
 func plan(t *testing.T, runs, workers int) Plan {
--- a/internal/experiment/plot.go
+++ b/internal/lab/experiment/plot.go
@@ -17,7 +17,7 @@
 	"gonum.org/v1/plot/vg/vgimg"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"piernotch/internal/model"
+	"piernotch/internal/lab/model"
 )
 
 var inks = []color.RGBA{{31, 119, 180, 255}, {214, 39, 40, 255}, {44, 160, 44, 255}, {148, 103, 189, 255}, {255, 127, 14, 255}, {140, 86, 75, 255}}
--- a/internal/load/load.go
+++ b/internal/lab/load/load.go
@@ -20,9 +20,9 @@
 
 	"piernotch"
 	"piernotch/internal/http1"
-	"piernotch/internal/model"
-	"piernotch/internal/scenario"
-	"piernotch/internal/tally"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/scenario"
+	"piernotch/internal/lab/tally"
 )
 
 // Answer is how a try ended for its client.
--- a/internal/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"piernotch/internal/model"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/scenario"
 )
 
 type ends struct {
--- a/internal/model/bench_test.go
+++ b/internal/lab/model/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 )
 
 // BenchmarkDay plays days of several sizes at the same load for each server. It reports
--- a/internal/model/child.go
+++ b/internal/lab/model/child.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 	"piernotch/internal/wire"
 )
 
--- a/internal/model/child_test.go
+++ b/internal/lab/model/child_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 )
 
 // adapter builds the project's own adapter.
--- a/internal/model/discovery.go
+++ b/internal/lab/model/discovery.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/fleet"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/fleet"
+	"piernotch/internal/lab/scenario"
 )
 
 // discovery is the list of servers as a service: it learns of changes late, publishes
--- a/internal/model/faults_test.go
+++ b/internal/lab/model/faults_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
-	"piernotch/internal/audit"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/audit"
+	"piernotch/internal/lab/scenario"
 )
 
 // faulty spoils what the module decides, as a host with a bug would.
--- a/internal/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"piernotch/internal/scenario"
-	"piernotch/internal/tally"
+	"piernotch/internal/lab/scenario"
+	"piernotch/internal/lab/tally"
 )
 
 // play runs one day of a scenario, with overrides.
--- a/internal/model/quake_test.go
+++ b/internal/lab/model/quake_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 	"piernotch/internal/trace"
 )
 
--- a/internal/model/replay_test.go
+++ b/internal/lab/model/replay_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 	"piernotch/internal/trace"
 )
 
--- a/internal/model/result.go
+++ b/internal/lab/model/result.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/audit"
-	"piernotch/internal/fleet"
-	"piernotch/internal/scenario"
-	"piernotch/internal/tally"
+	"piernotch/internal/lab/audit"
+	"piernotch/internal/lab/fleet"
+	"piernotch/internal/lab/scenario"
+	"piernotch/internal/lab/tally"
 )
 
 // Result is what came of one day. Service and its parts are shares of 1.
--- a/internal/model/tier.go
+++ b/internal/lab/model/tier.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/fleet"
+	"piernotch/internal/lab/fleet"
 )
 
 // EventKind is what a balancer hears of.
--- a/internal/model/ties_test.go
+++ b/internal/lab/model/ties_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 )
 
 // What is taken is always the first of what is there, also while more is planned.
--- a/internal/model/traffic.go
+++ b/internal/lab/model/traffic.go
@@ -11,7 +11,7 @@
 	"sort"
 	"time"
 
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 	"piernotch/internal/trace"
 )
 
--- a/internal/model/troubles.go
+++ b/internal/lab/model/troubles.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/fleet"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/fleet"
+	"piernotch/internal/lab/scenario"
 )
 
 // plays writes the day's troubles into the script.
--- a/internal/model/world.go
+++ b/internal/lab/model/world.go
@@ -1,5 +1,5 @@
 // Package model is a world in simulated time: clients, the front that spreads them,
-// balancers with real decisions, servers with the physics of internal/fleet, the list
+// balancers with real decisions, servers with the physics of internal/lab/fleet, the list
 // of servers as a service, and the network between them. One World plays one day, on
 // one goroutine; the same day and seed give the same bytes.
 //
@@ -20,10 +20,10 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/audit"
-	"piernotch/internal/fleet"
-	"piernotch/internal/idtable"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/audit"
+	"piernotch/internal/lab/fleet"
+	"piernotch/internal/lab/idtable"
+	"piernotch/internal/lab/scenario"
 )
 
 // ask is what a client wants: one request with all its tries.
--- a/internal/rehearse/drills.go
+++ b/internal/lab/rehearse/drills.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"strings"
 
-	"piernotch/internal/model"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/scenario"
 )
 
 // Drill is one failure that matters, played alone on an ordinary day.
--- a/internal/rehearse/handover.go
+++ b/internal/lab/rehearse/handover.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 )
 
 // Way is how a hand-over goes.
--- a/internal/rehearse/judge.go
+++ b/internal/lab/rehearse/judge.go
@@ -1,5 +1,5 @@
 // Package rehearse plays a scenario on real sockets: stand-in feed servers and roster,
-// open-loop clients, and balancers as processes of their own, judged by internal/audit
+// open-loop clients, and balancers as processes of their own, judged by internal/lab/audit
 // from what both ends saw.
 package rehearse
 
@@ -8,9 +8,9 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/audit"
-	"piernotch/internal/load"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/audit"
+	"piernotch/internal/lab/load"
+	"piernotch/internal/lab/scenario"
 )
 
 // onSockets is how much longer every time limit is than in simulated time.
--- a/internal/rehearse/process.go
+++ b/internal/lab/rehearse/process.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 	"piernotch/internal/wire"
 )
 
--- a/internal/rehearse/rehearse.go
+++ b/internal/lab/rehearse/rehearse.go
@@ -10,11 +10,11 @@
 	"syscall"
 	"time"
 
-	"piernotch/internal/audit"
-	"piernotch/internal/emulator"
-	"piernotch/internal/load"
-	"piernotch/internal/model"
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/audit"
+	"piernotch/internal/lab/emulator"
+	"piernotch/internal/lab/load"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/scenario"
 )
 
 // Options say how a day is rehearsed.
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/lab/rehearse/rehearse_test.go
@@ -20,10 +20,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"piernotch/internal/audit"
-	"piernotch/internal/model"
-	"piernotch/internal/scenario"
-	"piernotch/internal/tally"
+	"piernotch/internal/lab/audit"
+	"piernotch/internal/lab/model"
+	"piernotch/internal/lab/scenario"
+	"piernotch/internal/lab/tally"
 )
 
 // TestMain lets the test's own program stand in for a balancer with a fault.
--- a/internal/scenario/day.go
+++ b/internal/lab/scenario/day.go
@@ -11,7 +11,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"piernotch"
-	"piernotch/internal/fleet"
+	"piernotch/internal/lab/fleet"
 )
 
 // Stream returns the random numbers of one concern of one seed. Concerns do not
--- a/internal/tally/tally.go
+++ b/internal/lab/tally/tally.go
@@ -9,7 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"piernotch/internal/scenario"
+	"piernotch/internal/lab/scenario"
 )
 
 // Second is one second of the day, by when requests were first made.
--- a/internal/config/config_test.go
+++ b/internal/serve/config/config_test.go
@@ -10,7 +10,7 @@
 
 // Whoever starts the program must be told which field is wrong.
 func TestBadConfigurationNamesTheField(t *testing.T) {
-	data, err := os.ReadFile("../../deploy/example.json")
+	data, err := os.ReadFile("../../../deploy/example.json")
 	require.NoError(t, err)
 	none := func(string) string { return "" }
 	good, err := parse(data, none)
--- a/internal/config/file.go
+++ b/internal/serve/config/file.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/discovery"
 	"piernotch/internal/logs"
+	"piernotch/internal/serve/discovery"
 	"piernotch/internal/tomlfile"
 )
 
--- a/internal/config/file_test.go
+++ b/internal/serve/config/file_test.go
@@ -11,9 +11,9 @@
 )
 
 func TestTheExampleFileIsGoodAndSaysWhatTheJSONSays(t *testing.T) {
-	got, err := LoadFile("../../deploy/example.toml")
+	got, err := LoadFile("../../../deploy/example.toml")
 	require.NoError(t, err)
-	data, err := os.ReadFile("../../deploy/example.json")
+	data, err := os.ReadFile("../../../deploy/example.json")
 	require.NoError(t, err)
 	want, err := parse(data, func(string) string { return "" })
 	require.NoError(t, err)
--- a/internal/config/shape_test.go
+++ b/internal/serve/config/shape_test.go
@@ -11,7 +11,7 @@
 
 // Nothing is taken from a file that is broken: a key that is missing would read as zero.
 func TestAFileReadAgainHasToBeWhole(t *testing.T) {
-	data, err := os.ReadFile("../../deploy/example.json")
+	data, err := os.ReadFile("../../../deploy/example.json")
 	require.NoError(t, err)
 	name := filepath.Join(t.TempDir(), "config.json")
 	env := func(key string) string { return map[string]string{"ROUTER_CONFIG": name}[key] }
--- a/internal/core/core.go
+++ b/internal/serve/core/core.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"piernotch"
+	"piernotch/internal/serve/words"
 	"piernotch/internal/wheel"
-	"piernotch/internal/words"
 )
 
 // Tick is the grain of all timers.
--- a/internal/core/core_test.go
+++ b/internal/serve/core/core_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
-	"piernotch/internal/words"
+	"piernotch/internal/serve/words"
 )
 
 const start = 1000 * time.Second
--- a/internal/core/operate.go
+++ b/internal/serve/core/operate.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/words"
+	"piernotch/internal/serve/words"
 )
 
 // What operators change while requests are under way: feed servers left out, clients sent
--- a/internal/discovery/discovery.go
+++ b/internal/serve/discovery/discovery.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/core"
 	"piernotch/internal/http1"
-	"piernotch/internal/sock"
+	"piernotch/internal/serve/core"
+	"piernotch/internal/serve/sock"
 )
 
 const (
--- a/internal/front/front.go
+++ b/internal/serve/front/front.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/core"
 	"piernotch/internal/http1"
-	"piernotch/internal/sock"
-	"piernotch/internal/upstream"
+	"piernotch/internal/serve/core"
+	"piernotch/internal/serve/sock"
+	"piernotch/internal/serve/upstream"
 )
 
 const (
--- a/internal/handover/handover_test.go
+++ b/internal/serve/handover/handover_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"piernotch/internal/words"
+	"piernotch/internal/serve/words"
 )
 
 // Of two processes one accepts, and never none while one of them can serve.
--- a/internal/handover/record.go
+++ b/internal/serve/handover/record.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"piernotch"
-	"piernotch/internal/words"
+	"piernotch/internal/serve/words"
 )
 
 // Phase is how far a process is.
--- a/internal/manage/manage.go
+++ b/internal/serve/manage/manage.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"piernotch/internal/http1"
-	"piernotch/internal/sock"
-	"piernotch/internal/words"
+	"piernotch/internal/serve/sock"
+	"piernotch/internal/serve/words"
 )
 
 const (
--- a/internal/node/beside.go
+++ b/internal/serve/node/beside.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/core"
-	"piernotch/internal/discovery"
-	"piernotch/internal/handover"
-	"piernotch/internal/manage"
-	"piernotch/internal/sock"
+	"piernotch/internal/serve/core"
+	"piernotch/internal/serve/discovery"
+	"piernotch/internal/serve/handover"
+	"piernotch/internal/serve/manage"
+	"piernotch/internal/serve/sock"
 )
 
 const (
--- a/internal/node/daily_test.go
+++ b/internal/serve/node/daily_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
-	"piernotch/internal/config"
+	"piernotch/internal/serve/config"
 )
 
 // echo is a feed server that answers with its own name.
--- a/internal/node/node.go
+++ b/internal/serve/node/node.go
@@ -9,15 +9,15 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/config"
-	"piernotch/internal/core"
-	"piernotch/internal/discovery"
-	"piernotch/internal/front"
-	"piernotch/internal/handover"
-	"piernotch/internal/manage"
-	"piernotch/internal/sock"
-	"piernotch/internal/upstream"
-	"piernotch/internal/words"
+	"piernotch/internal/serve/config"
+	"piernotch/internal/serve/core"
+	"piernotch/internal/serve/discovery"
+	"piernotch/internal/serve/front"
+	"piernotch/internal/serve/handover"
+	"piernotch/internal/serve/manage"
+	"piernotch/internal/serve/sock"
+	"piernotch/internal/serve/upstream"
+	"piernotch/internal/serve/words"
 )
 
 // summaryEvery is the time between two lines of totals in the log.
--- a/internal/node/recorder.go
+++ b/internal/serve/node/recorder.go
@@ -5,8 +5,8 @@
 	"math"
 	"time"
 
-	"piernotch/internal/config"
-	"piernotch/internal/core"
+	"piernotch/internal/serve/config"
+	"piernotch/internal/serve/core"
 	"piernotch/internal/trace"
 )
 
--- a/internal/node/stories_test.go
+++ b/internal/serve/node/stories_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
-	"piernotch/internal/config"
-	"piernotch/internal/discovery"
+	"piernotch/internal/serve/config"
+	"piernotch/internal/serve/discovery"
 )
 
 // patience bounds every wait; none of the stories depends on how long one takes.
--- a/internal/upstream/report.go
+++ b/internal/serve/upstream/report.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"piernotch"
-	"piernotch/internal/core"
+	"piernotch/internal/serve/core"
 	"piernotch/internal/wire"
 )
 
