Put seeded faults between processes: relays, schedules and 'notchlab chaos'

Need: the operators care most about how processes behave together while links and processes fail. Drills kill and restart; nothing stood between processes yet.

Change: faultnet (a relay for each link: silent cuts and resets, one way or both, delay, jitter, throttle), chaos (schedules drawn from a seed, told in words, shrunk), played by the rehearsal's rig and judged by the auditor.

--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -31,6 +31,7 @@
 	Rehearse rehearseCmd `cmd:"" help:"Play a scenario on real sockets: balancers as processes, stand-in servers, roster and clients."`
 	Drill    drillCmd    `cmd:"" help:"Play the failures that a service must get over by itself, and say how long it took."`
 	Handover handoverCmd `cmd:"" help:"Hand balancers over to processes beside them, again and again, under load and with faults."`
+	Chaos    chaosCmd    `cmd:"" help:"Put faults between balancers, servers and roster by a seeded schedule, and judge what clients and servers saw."`
 	Emulate  emulateCmd  `cmd:"" help:"Stand-in feed servers and a roster alone, for any balancer."`
 	Load     loadCmd     `cmd:"" help:"Clients alone, for any balancer."`
 	Plot     plotCmd     `cmd:"" help:"Draw a result (.svg, .png) or make a report of it (.html)."`
--- a/internal/lab/emulator/roster.go
+++ b/internal/lab/emulator/roster.go
@@ -20,6 +20,10 @@
 // Roster is a stand-in for discovery: the whole list, and a watch on its changes. Each
 // balancer asks at an address of its own, so that it is known who was told what.
 type Roster struct {
+	// Through, if set before the first call, tells where a balancer reaches a server that listens
+	// at an address: relays may stand between.
+	Through func(balancer, server int, address string) string
+
 	fleet   *Fleet
 	told    Told
 	late    atomic.Int64 // a trouble's further lateness, ns
@@ -206,7 +210,7 @@
 
 // list is what has changed since a version, or with whole everything that is there. The
 // lock is held.
-func (r *Roster) list(since uint64, whole bool) (listJSON, []int) {
+func (r *Roster) list(balancer int, since uint64, whole bool) (listJSON, []int) {
 	out := listJSON{Generation: r.version, Reset: whole, Instances: []instanceJSON{}}
 	var servers []int
 	for i := range r.fleet.servers {
@@ -214,9 +218,12 @@
 		if e == nil || !whole && e.version <= since || whole && e.state == piernotch.Gone {
 			continue
 		}
-		s := r.fleet.servers[i]
+		s, address := r.fleet.servers[i], e.address
+		if r.Through != nil {
+			address = r.Through(balancer, i, address)
+		}
 		out.Instances = append(out.Instances, instanceJSON{
-			s.name, e.address, r.fleet.day.Zones[s.spec.Zone], s.spec.Kind.Name, s.spec.Cell, lifecycles[e.state], s.spec.Size, e.started,
+			s.name, address, r.fleet.day.Zones[s.spec.Zone], s.spec.Kind.Name, s.spec.Cell, lifecycles[e.state], s.spec.Size, e.started,
 		})
 		servers = append(servers, i)
 	}
@@ -236,10 +243,10 @@
 }
 
 // Known is the whole list as JSON, as a balancer's configuration holds it.
-func (r *Roster) Known() json.RawMessage {
+func (r *Roster) Known(balancer int) json.RawMessage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l, _ := r.list(0, true)
+	l, _ := r.list(balancer, 0, true)
 	data, _ := json.Marshal(l)
 	return data
 }
@@ -259,7 +266,7 @@
 		}
 		whole := ierr != nil || index > r.version
 		if whole || r.version > index || wait <= 0 {
-			l, servers := r.list(index, whole)
+			l, servers := r.list(balancer, index, whole)
 			states := make([]entry, len(servers))
 			for i, s := range servers {
 				states[i] = *r.entries[s]
--- /dev/null
+++ b/internal/lab/faultnet/faultnet_test.go
@@ -0,0 +1,140 @@
+package faultnet
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+// echo answers line by line.
+func echo(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					_, _ = fmt.Fprint(c, line)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+type peer struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, l *Link) *peer {
+	c, err := net.Dial("tcp", l.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &peer{c, bufio.NewReader(c)}
+}
+
+// says sends a line and returns the answer, or how none came within the time.
+func (p *peer) says(line string, within time.Duration) (string, error) {
+	if _, err := fmt.Fprintln(p, line); err != nil {
+		return "", err
+	}
+	return p.hears(within)
+}
+
+func (p *peer) hears(within time.Duration) (string, error) {
+	_ = p.SetReadDeadline(time.Now().Add(within))
+	return p.r.ReadString('\n')
+}
+
+const (
+	long  = 10 * time.Second
+	short = 150 * time.Millisecond
+)
+
+func TestFaultsOfALink(t *testing.T) {
+	current := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, current) })
+	n := New(1)
+	defer n.Close()
+	l, err := n.Link("a>b", echo(t))
+	require.NoError(t, err)
+	c := dial(t, l)
+	got, err := c.says("one", long)
+	require.NoError(t, err)
+	require.Equal(t, "one\n", got)
+
+	for _, d := range []Direction{There, Back} { // each way alone keeps the answer away, and loses nothing
+		l.Set(d, Fault{Cut: Silent})
+		_, err = c.says("held", short)
+		require.ErrorContains(t, err, "timeout")
+		half := dial(t, l)
+		_, err = half.says("half-open", short)
+		require.ErrorContains(t, err, "timeout")
+		l.Heal()
+		got, err = c.hears(long)
+		require.NoError(t, err)
+		require.Equal(t, "held\n", got)
+		got, err = half.hears(long)
+		require.NoError(t, err)
+		require.Equal(t, "half-open\n", got)
+	}
+
+	l.Set(Back, Fault{Delay: 2 * short, Jitter: short})
+	began := time.Now()
+	_, err = c.says("late", long)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(began), 2*short)
+	l.Set(Back, Fault{Rate: 100})
+	began = time.Now()
+	_, err = c.says("0123456789012345678", long)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(began), 200*time.Millisecond)
+
+	l.Set(There, Fault{Cut: Reset})
+	_, err = c.hears(long)
+	require.ErrorContains(t, err, "reset")
+	require.False(t, l.Delivered(There))
+	if c, err := net.Dial("tcp", l.Address()); err == nil { // it may be reset at once
+		_, err = (&peer{c, bufio.NewReader(c)}).says("new", long)
+		require.Error(t, err)
+	}
+	l.Heal()
+	_, err = dial(t, l).says("well again", long)
+	require.NoError(t, err)
+	require.True(t, l.Delivered(There))
+}
+
+// A machine that was cut off for long is back with its connections reset.
+func TestALongCutBreaksConnections(t *testing.T) {
+	n := New(1)
+	defer n.Close()
+	l, err := n.Link("a>b", echo(t))
+	require.NoError(t, err)
+	c := dial(t, l)
+	_, err = c.says("one", long)
+	require.NoError(t, err)
+	l.Set(There, Fault{Cut: Silent})
+	_, _ = c.says("lost", short)
+	l.mu.Lock()
+	l.cut[There] = l.cut[There].Add(-retransmits)
+	l.mu.Unlock()
+	l.Heal()
+	_, err = c.hears(long)
+	require.ErrorContains(t, err, "reset")
+}
