Date what waited during a stall, and hear the list first after one

Cause: front.serve counted a client's time from the read; Engine.Run served the mailbox in the order read. Change: the loop notices that it did not look for over 40 ms; what is read within 50 ms after counts as old as the stall, and is refused at once where its time is over. After more than a second it reads 20 ms long, then hears discovery before the rest and before timers.

--- a/internal/lab/rehearse/judge.go
+++ b/internal/lab/rehearse/judge.go
@@ -33,8 +33,8 @@
 	audit *audit.Auditor
 	last  uint64
 	ids   map[string]*seen
-	ended []ending // to be forgotten in time
-	dying map[int]bool
+	ended []ending    // to be forgotten in time
+	dying map[int]int // by balancer: reasons why it need not answer
 }
 
 type seen struct {
@@ -59,7 +59,7 @@
 	for _, c := range day.Classes {
 		fig.Classes = append(fig.Classes, c.Class)
 	}
-	return &Judge{clock: clock, cross: crossing, audit: audit.New(fig), ids: map[string]*seen{}, dying: map[int]bool{}}
+	return &Judge{clock: clock, cross: crossing, audit: audit.New(fig), ids: map[string]*seen{}, dying: map[int]int{}}
 }
 
 // Taken implements load.Observer.
@@ -89,6 +89,10 @@
 	}
 	s.done = now
 	j.ended = append(j.ended, ending{id, now})
+	if j.dying[s.balancer] > 0 && (answer == load.Refused || answer == load.Failed) {
+		j.audit.Excused(now, s.seq) // it stands still: it cannot be in time, but must not serve it late
+		return
+	}
 	switch answer {
 	case load.Served:
 		j.audit.Answered(now, s.seq, audit.Served)
@@ -97,7 +101,7 @@
 	case load.Failed:
 		j.audit.Answered(now, s.seq, audit.Failed)
 	case load.Broken:
-		if j.dying[s.balancer] {
+		if j.dying[s.balancer] > 0 {
 			j.audit.Excused(now, s.seq)
 			return
 		}
@@ -113,7 +117,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.clock()
-	j.dying[balancer] = true
+	j.dying[balancer]++
 	for id, s := range j.ids {
 		if s.balancer == balancer && s.done == 0 {
 			s.done = now
@@ -135,7 +139,7 @@
 func (j *Judge) Revived(balancer int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	delete(j.dying, balancer)
+	j.dying[balancer] = max(j.dying[balancer]-1, 0)
 }
 
 // Sent implements emulator.Observer.
--- a/internal/serve/discovery/discovery.go
+++ b/internal/serve/discovery/discovery.go
@@ -164,6 +164,7 @@
 	c, epoch := &conn{w: w, parser: http1.NewResponseParser(maxList)}, w.epoch
 	w.engine.Dial(w.address, dialFor, func(s *sock.Conn) sock.Handler {
 		c.sock = s
+		s.First()
 		return c
 	}, func(s *sock.Conn, err error) {
 		switch {
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -65,10 +65,36 @@
 	waiting map[core.Client]*conn
 	last    core.Client
 	ending  bool
+	stale   stale
 	drained time.Duration // since when clients are sent away; 0: they are not
 	crowd   int           // so many connections are a crowd
 }
 
+// stale is the time after the process stood still: what is read until then may have come at from.
+type stale struct{ from, until time.Duration }
+
+// readWithin is how long it may take after a stall until all that came meanwhile has been read.
+const readWithin = 50 * time.Millisecond
+
+// Stalled says that nothing was read for so long.
+func (f *Front) Stalled(gap time.Duration) {
+	now := f.now()
+	if f.stale.until < now {
+		f.stale.from = now - gap
+	}
+	f.stale.until = now + readWithin
+}
+
+// came is when the request that is read now may have come. A client's time runs from its sending: a
+// process that stood still would take old requests for new ones, and serve them too late. Taken for
+// older than it is, a request is refused at worst, which is true: it was sent to nobody.
+func (f *Front) came() time.Duration {
+	if now := f.now(); now >= f.stale.until {
+		return now
+	}
+	return f.stale.from
+}
+
 type conn struct {
 	f      *Front
 	sock   *sock.Conn
@@ -200,7 +226,7 @@
 	c.f.waiting[c.client] = c
 	c.f.emit(core.Arrived{
 		Client: c.client, ID: id, Class: class, Key: key(m.Query("k")), Hint: hint(m.Fields.Get("x-cost-hint")),
-		Deadline: c.f.now() + wait - margin,
+		Deadline: c.f.came() + wait - margin,
 		Message: &upstream.Request{
 			Method: m.Method, Target: m.Target, ID: id,
 			ContentType: m.Fields.Get("content-type"), Body: m.Body,
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -77,6 +77,12 @@
 	n.front = front.New(n.emit, n.now, n.healthy, cfg.Sockets)
 	n.route(n.core.Routes())
 	n.listener = n.engine.Clients(n.front.Accepted)
+	n.engine.Stalled = func(gap time.Duration) {
+		if gap > time.Second {
+			slog.Warn("stood still", "ms", gap.Milliseconds())
+		}
+		n.front.Stalled(gap)
+	}
 	n.manage = manage.Server{
 		Now: n.now, Ready: func() bool { return n.core.Listed() && !n.core.Ending() },
 		Do: func(call uint64, verb words.Verb, server string) {
--- a/internal/serve/sock/sock.go
+++ b/internal/serve/sock/sock.go
@@ -3,6 +3,7 @@
 package sock
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -52,9 +54,22 @@
 	written atomic.Int64 // bytes that the kernel has taken
 	unread  atomic.Int32 // pieces of data on their way to the handler
 	deaf    atomic.Bool  // what still comes is thrown away
+	first   atomic.Bool  // heard before others after a stall
 	closed  bool
 }
 
+// stall is how long the loop may take over what it has without that counting: answers may be as
+// late as this.
+const stall = 40 * time.Millisecond
+
+// After a stall of LongStall all that waits in the sockets is read for readFor, and what comes from
+// connections that go first is heard before the rest. Word that a server leaves must not be behind
+// a request that would be sent to it: two seconds are given for that, and they may be over.
+const (
+	LongStall = time.Second
+	readFor   = 20 * time.Millisecond
+)
+
 // mail is one thing that has happened: f, or else data on a connection.
 type mail struct {
 	f    func()
@@ -67,6 +82,9 @@
 	// Shed is called when descriptors are short; it should close what can be
 	// spared, for a new client or for a connection to a feed server.
 	Shed func(client bool)
+	// Stalled is called when nothing was looked at for longer than stall, before what came
+	// meanwhile is: it may have been waiting for so long.
+	Stalled func(gap time.Duration)
 
 	nb      *nbio.Engine
 	mu      sync.Mutex
@@ -87,7 +105,7 @@
 	// The budget is kept here; the table only has to be large enough.
 	nbio.MaxOpenFiles = max(4*sockets, 1<<14)
 	e := &Engine{
-		wake: make(chan struct{}, 1), Shed: func(bool) {},
+		wake: make(chan struct{}, 1), Shed: func(bool) {}, Stalled: func(time.Duration) {},
 		buffers: sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }},
 		nb: nbio.NewEngine(nbio.Config{
 			Name: "piernotch", NPoller: 1, ReadBufferSize: readSize, MaxWriteBufferSize: 512 << 10,
@@ -126,26 +144,53 @@
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	var batch []mail
+	looked := time.Now()
 	for {
+		ticked := false
 		select {
 		case <-e.wake:
 		case <-ticker.C:
-			guard(tick)
+			ticked = true
 		case <-ctx.Done():
 			return
 		}
+		now := time.Now()
+		if gap := now.Sub(looked); gap > stall {
+			guard(func() { e.Stalled(gap) })
+		}
+		long := now.Sub(looked) > LongStall
+		looked = now
+		if long {
+			time.Sleep(readFor)
+		} else if ticked {
+			guard(tick)
+		}
 		e.mu.Lock()
 		batch, e.mail = e.mail, batch[:0]
 		e.bytes = 0
 		e.mu.Unlock()
 		e.room.Signal()
+		if long { // what one connection said stays in order
+			slices.SortStableFunc(batch, func(a, b mail) int { return cmp.Compare(b.rank(), a.rank()) })
+		}
 		for i := range batch {
 			e.serve(batch[i])
 			batch[i] = mail{} // kept until the next batch otherwise
 		}
+		if long {
+			guard(tick)
+		}
 	}
 }
 
+// rank is 1 for data of a connection that goes first.
+func (m mail) rank() int {
+	if m.conn != nil && m.conn.first.Load() {
+		return 1
+	}
+	return 0
+}
+
 func (e *Engine) serve(m mail) {
 	if m.conn == nil {
 		guard(m.f)
@@ -428,6 +473,9 @@
 	return err
 }
 
+// First has what comes on the connection heard before anything else after a stall.
+func (c *Conn) First() { c.first.Store(true) }
+
 // Ignore has whatever the peer still sends thrown away as it is read.
 func (c *Conn) Ignore() { c.deaf.Store(true) }
 
