--- a/cmd/notchlab/chaos.go
+++ b/cmd/notchlab/chaos.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
 
 	"piernotch/internal/lab/chaos"
 	"piernotch/internal/lab/model"
@@ -46,12 +45,8 @@
 		}
 		return nil
 	}
-	if c.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(self), "piernotch")
+	if err := beside(&c.Program); err != nil {
+		return err
 	}
 	var all []*chaosRun
 	bad := 0
--- a/cmd/notchlab/drill.go
+++ b/cmd/notchlab/drill.go
@@ -39,12 +39,8 @@
 			return fmt.Errorf("no drill %q; --list tells them", name)
 		}
 	}
-	if c.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(self), "piernotch")
+	if err := beside(&c.Program); err != nil {
+		return err
 	}
 	t := table.NewWriter()
 	t.AppendHeader(table.Row{"drill", "served, of the control", "worst 3 s", "back after, s", "refused", "failed", "rules broken"})
--- a/cmd/notchlab/handover.go
+++ b/cmd/notchlab/handover.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"time"
 
 	"piernotch/internal/lab/model"
@@ -22,12 +20,8 @@
 }
 
 func (c *handoverCmd) Run(ctx context.Context, o *output) error {
-	if c.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(self), "piernotch")
+	if err := beside(&c.Program); err != nil {
+		return err
 	}
 	rounds := (c.Times + c.Balancers - 1) / c.Balancers
 	length := rehearse.HandOverLead + time.Duration(rounds)*rehearse.HandOverEvery
--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -64,6 +65,16 @@
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
+// beside fills in the balancer's program, where none is named: the one beside this program.
+func beside(program *string) error {
+	if *program != "" {
+		return nil
+	}
+	self, err := os.Executable()
+	*program = filepath.Join(filepath.Dir(self), "piernotch")
+	return err
+}
+
 // run is the program; it returns the exit code.
 func run(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/cmd/notchlab/rehearse.go
+++ b/cmd/notchlab/rehearse.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -56,12 +55,8 @@
 }
 
 func (c *rehearseCmd) Run(ctx context.Context, o *output) error {
-	if c.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(self), "piernotch")
+	if err := beside(&c.Program); err != nil {
+		return err
 	}
 	var env []string
 	if c.Proxy {
--- a/internal/lab/rehearse/handover.go
+++ b/internal/lab/rehearse/handover.go
@@ -67,8 +67,8 @@
 	HandOverLead  = 2 * time.Second
 	// yesWithin is how long a new process may take to say yes.
 	yesWithin = 5 * time.Second
-	// killAfter is when a process that was told to end is killed: after the longest deadline of
-	// a class and what the platform gives on top.
+	// killOnTop is how long after the longest deadline of a class a process that was told to end
+	// is killed.
 	killOnTop = 700 * time.Millisecond
 )
 
