--- a/internal/lab/rehearse/faults.go
+++ b/internal/lab/rehearse/faults.go
@@ -69,7 +69,7 @@
 	switch s.Act {
 	case chaos.Stop:
 		u := p.current()
-		r.judge.Killed(s.Balancer) // it answers nobody in time, through no fault of its own
+		r.judge.Paused(s.Balancer)
 		_ = u.cmd.Process.Signal(syscall.SIGSTOP)
 		rest()
 		_ = u.cmd.Process.Signal(syscall.SIGCONT)
