--- a/cmd/notchlab/handover.go
+++ b/cmd/notchlab/handover.go
@@ -45,6 +45,7 @@
 	k := r.Counts
 	fmt.Fprintf(o.out, "%d tries: %d served, %d refused, %d failed, %d without an answer, %d broken, %d met no balancer, %d turned back and sent again\n",
 		k.Tries, k.Served, k.Refused, k.Failed, k.Unanswered, k.Broken, k.Unreached, k.Crossed)
+	fmt.Fprintf(o.out, "%d turned back unheard by processes that were not killed\n", h.Back)
 	for _, text := range h.Wrong {
 		fmt.Fprintln(o.out, "wrong:", text)
 	}
--- a/internal/lab/rehearse/judge.go
+++ b/internal/lab/rehearse/judge.go
@@ -35,6 +35,7 @@
 	ids   map[string]*seen
 	ended []ending    // to be forgotten in time
 	dying map[int]int // by balancer: reasons why it need not answer
+	back  int         // requests turned back unheard by balancers that had none
 }
 
 type seen struct {
@@ -90,6 +91,9 @@
 	}
 	s.done = now
 	j.ended = append(j.ended, ending{id, now})
+	if answer == load.Unreached && j.dying[s.balancer] == 0 {
+		j.back++
+	}
 	// Who stands still cannot be in time. But what came meanwhile must not be served late.
 	if s.paused || j.dying[s.balancer] > 0 && (answer == load.Refused || answer == load.Failed) {
 		j.audit.Excused(now, s.seq)
@@ -137,6 +141,14 @@
 	j.audit.Restarted(balancer)
 }
 
+// TurnedBack is how many requests met a connection that was closed under them, by a balancer that
+// was neither killed nor stopped.
+func (j *Judge) TurnedBack() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.back
+}
+
 // Paused excuses a balancer from answering in time, until it is Revived: it stands still. What it
 // has may go on afterwards.
 func (j *Judge) Paused(balancer int) {
--- a/internal/lab/rehearse/rehearse.go
+++ b/internal/lab/rehearse/rehearse.go
@@ -161,7 +161,7 @@
 	report := r.report(clients, <-quarters)
 	report.Rude = r.rude.Counts()
 	if len(opts.HandOvers) > 0 {
-		report.Handed = r.hand
+		report.Handed, r.hand.Back = r.hand, r.judge.TurnedBack()
 	}
 	if r.err == nil {
 		r.err = r.fleet.Err()
