Use library searches and one health check in place of loops written again

Need: reading the change once more found loops that the standard library has (a key's sorted list, a zone's place, which discovery had too) and a second health check in the rig.

Change: slices.Sorted with maps.Keys, slices.Index in both places, the rig's 'health' at a start, too; a check for nil that could not matter is gone. No behaviour changes.

--- a/internal/lab/rehearse/process.go
+++ b/internal/lab/rehearse/process.go
@@ -136,14 +136,9 @@
 	p.mu.Lock()
 	p.run = u
 	p.mu.Unlock()
-	client := &http.Client{Timeout: time.Second}
 	for range 200 {
-		resp, err := client.Get("http://" + p.address + "/_health")
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == 200 {
-				return nil
-			}
+		if health(p.address) == http.StatusOK {
+			return nil
 		}
 		select {
 		case <-u.done:
--- a/internal/serve/config/shape.go
+++ b/internal/serve/config/shape.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -32,7 +33,7 @@
 		if !ok {
 			return fmt.Errorf("%s: an object is expected", at)
 		}
-		for _, key := range sortedKeys(o) {
+		for _, key := range slices.Sorted(maps.Keys(o)) { // the same key is named each time
 			where := key
 			if at != "" {
 				where = at + "." + key
@@ -52,7 +53,7 @@
 		}
 		common := commonKeys(o)
 		for i, v := range n {
-			if err := lacks(common, v, fmt.Sprintf("%s[%d]", at, i)); common != nil && err != nil {
+			if err := lacks(common, v, fmt.Sprintf("%s[%d]", at, i)); err != nil {
 				return err
 			}
 		}
@@ -87,12 +88,3 @@
 	}
 	return common
 }
-
-func sortedKeys(o map[string]any) []string {
-	keys := make([]string, 0, len(o))
-	for key := range o {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/serve/discovery/discovery.go
+++ b/internal/serve/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -75,16 +76,10 @@
 		if host, _, err := net.SplitHostPort(e.HostPort); state != piernotch.Gone && (err != nil || net.ParseIP(host) == nil) {
 			return List{}, fmt.Errorf("list: instances[%d].hostPort is %q", i, e.HostPort)
 		}
-		zone := -1
-		for z, name := range zones {
-			if name == e.Zone {
-				zone = z
-			}
-		}
 		out.Members = append(out.Members, core.Member{
 			Name: e.InstanceID, Address: e.HostPort,
 			Entry: piernotch.Entry{
-				Zone: zone, Cell: e.Cell, State: state, Size: e.Weight,
+				Zone: slices.Index(zones, e.Zone), Cell: e.Cell, State: state, Size: e.Weight,
 				Born: time.Duration(e.StartedAtMs * float64(time.Millisecond)),
 			},
 		})
--- a/internal/serve/node/beside.go
+++ b/internal/serve/node/beside.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"os"
+	"slices"
 	"time"
 
 	"piernotch"
@@ -65,14 +66,8 @@
 func (n *Node) takeOver(from *handover.Record) {
 	known := discovery.List{Generation: from.Generation, Reset: true}
 	for _, m := range from.Members {
-		zone := -1
-		for i, name := range n.cfg.Settings.Zones {
-			if name == m.Zone {
-				zone = i
-			}
-		}
 		known.Members = append(known.Members, core.Member{Name: m.Name, Address: m.Address, Entry: piernotch.Entry{
-			Zone: zone, Cell: m.Cell, State: m.State, Size: m.Size, Born: m.Born,
+			Zone: slices.Index(n.cfg.Settings.Zones, m.Zone), Cell: m.Cell, State: m.State, Size: m.Size, Born: m.Born,
 		}})
 	}
 	n.cfg.Known, n.cfg.HasKnown = known, true
