Read a server's answer to its end, and take one that breaks off for cut short

Cause: answers whose length the connection's end gives. nbio reads a connection four times 16 KiB an event and closes behind that as soon as the end has come (poller_epoll.go, 'ev.Events&epollEventsError'), whatever is left: of an answer of over 64 KiB whose end had come by then, 65,536 bytes with the head were heard, and that is a body under our bound of 64 KiB, taken for whole. It also calls a reset behind data an end in order, and our own upstream.Closed completed such an answer whatever the error was.

Change: the engine reads by itself (OnRead): what a server sends is read to its end or to nothing, and its end told as it was; only an end in order completes an answer or a list. A client's connection is read as before.

--- a/internal/serve/discovery/discovery.go
+++ b/internal/serve/discovery/discovery.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"slices"
@@ -233,7 +235,10 @@
 	if c.w.conn != c {
 		return
 	}
-	m := c.parser.End()
+	var m *http1.Message
+	if errors.Is(err, io.EOF) { // an answer that breaks off is not whole
+		m = c.parser.End()
+	}
 	switch {
 	case m != nil:
 		c.w.answered(m)
--- a/internal/serve/node/stories_test.go
+++ b/internal/serve/node/stories_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// Where the end of the connection gives an answer's length, a connection that breaks gives none: what
+// came of the answer is not passed on as the whole one.
+func TestAnAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	n, _ := start(t, quiet(t), peer(t, func(c net.Conn, r *bufio.Reader) {
+		head, _ := message(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nuntil the")
+		if strings.Contains(head, "later") {
+			time.Sleep(20 * time.Millisecond) // the first part has been read by then
+		}
+		_ = c.(*net.TCPConn).SetLinger(0) // its close is a reset
+	}))
+	c := connect(t, n)
+	for _, id := range []string{"at-once", "later"} {
+		head, _ := c.ask("POST", "/append", id, "x")
+		require.Contains(t, head, "502 Bad Gateway", id)
+	}
+}
+
 // An attempt that is given up takes its connection along: its late answer must
 // not be read as that of the next request.
 func TestALateAnswerReachesNobody(t *testing.T) {
--- a/internal/serve/sock/sock.go
+++ b/internal/serve/sock/sock.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -30,7 +31,8 @@
 var ErrShort = errors.New("descriptor budget is spent")
 
 // Handler is told what happens on a connection, on the owning goroutine. The
-// data is only lent: the buffer is used again after the call.
+// data is only lent: the buffer is used again after the call. Closed gets io.EOF if the
+// peer has ended in order; where we called it, all that it sent has gone before.
 type Handler interface {
 	Data(data []byte)
 	Closed(err error)
@@ -39,6 +41,8 @@
 const (
 	// readSize is how much is read from a socket at once.
 	readSize = 16 << 10
+	// readTimes is how often a client's connection is read before another has its turn.
+	readTimes = 4
 	// mostMail bounds the bytes that were read and not yet looked at. Beyond it
 	// the poller waits, and so do the peers: a few that send at full speed must
 	// not fill the memory.
@@ -55,6 +59,7 @@
 	unread  atomic.Int32 // pieces of data on their way to the handler
 	deaf    atomic.Bool  // what still comes is thrown away
 	first   atomic.Bool  // heard before others after a stall
+	dialled bool         // to a server: where its sending ends may say where an answer does
 	closed  bool
 }
 
@@ -93,6 +98,7 @@
 	bytes   int // of the data in mail
 	wake    chan struct{}
 	buffers sync.Pool
+	buf     []byte // the poller's, to read into
 	open    atomic.Int64
 	budget  atomic.Int64
 }
@@ -105,21 +111,16 @@
 	// The budget is kept here; the table only has to be large enough.
 	nbio.MaxOpenFiles = max(4*sockets, 1<<14)
 	e := &Engine{
-		wake: make(chan struct{}, 1), Shed: func(bool) {}, Stalled: func(time.Duration) {},
+		wake: make(chan struct{}, 1), buf: make([]byte, readSize), Shed: func(bool) {}, Stalled: func(time.Duration) {},
 		buffers: sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }},
 		nb: nbio.NewEngine(nbio.Config{
 			Name: "piernotch", NPoller: 1, ReadBufferSize: readSize, MaxWriteBufferSize: 512 << 10,
-			MaxConnReadTimesPerEventLoop: 4,
 		}),
 	}
 	e.room = sync.NewCond(&e.mu)
 	e.SetSockets(sockets)
 	e.nb.OnOpen(func(*nbio.Conn) {})
-	e.nb.OnData(func(nc *nbio.Conn, data []byte) {
-		if c, ok := nc.Session().(*Conn); ok {
-			e.arrived(c, data)
-		}
-	})
+	e.nb.OnRead(e.read)
 	e.nb.OnClose(func(nc *nbio.Conn, err error) {
 		if c, ok := nc.Session().(*Conn); ok {
 			e.Post(func() {
@@ -219,6 +220,33 @@
 	e.nudge()
 }
 
+// read takes what a connection holds. The poller's own reading closes behind a few pieces as soon as
+// the end has come, whatever is left, and calls a reset an end in order; an answer whose length its end
+// gives would pass for whole where it was cut short. So what a server sends is read up to its end or to
+// nothing; its reader closes what sends too much. A client may have a few pieces at a time.
+func (e *Engine) read(nc *nbio.Conn) {
+	c := nc.Session().(*Conn)
+	for i := 1; ; i++ {
+		n, err := nc.Read(e.buf)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err == nil && n == 0:
+			err = io.EOF
+		}
+		if err != nil {
+			_ = nc.CloseWithError(err)
+			return
+		}
+		e.arrived(c, e.buf[:n])
+		if !c.dialled && (n < len(e.buf) || i >= readTimes) {
+			return
+		}
+	}
+}
+
 func (e *Engine) nudge() {
 	select {
 	case e.wake <- struct{}{}:
@@ -304,7 +332,7 @@
 			e.Post(func() { done(nil, err) })
 			return
 		}
-		c := &Conn{count: &e.open}
+		c := &Conn{count: &e.open, dialled: true}
 		e.Post(func() { // set up where the state lives, before a byte is read
 			c.handler = h(c)
 			if err := e.adopt(nc, c); err != nil {
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -364,9 +365,10 @@
 	}
 }
 
-// Closed takes the end of the connection, which may complete an answer.
+// Closed takes the end of the connection, which may complete an answer; what breaks may not: its
+// answer was cut short.
 func (c *conn) Closed(err error) {
-	if c.errand != nil && c.wrote && c.heard {
+	if errors.Is(err, io.EOF) && c.errand != nil && c.wrote && c.heard {
 		if m := c.parser.End(); m != nil {
 			c.answered(m)
 			return
