Decide who holds a duty by leases over raft, and prove it under seeded faults in two bodies

Need: issue "Duties", its agreement and leases: which balancer may do what only one may, kept through crashes, cut links, stopped processes, lost disks and clocks that run apart.

Nothing acts under a duty yet.

--- /dev/null
+++ b/cmd/notchlab/group.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+
+	"piernotch/internal/lab/groupmodel"
+	"piernotch/internal/lab/grouprig"
+)
+
+type groupCmd struct {
+	Model groupModelCmd `cmd:"" help:"Play schedules of faults on the control group in simulated time, thousands of seeds."`
+	Rig   groupRigCmd   `cmd:"" help:"Play the same schedules on real processes with relays between them."`
+}
+
+// groupSize is what a schedule is played on.
+type groupSize struct {
+	Seed    uint64 `default:"1" help:"The first seed."`
+	Runs    int    `default:"100" help:"How many seeds."`
+	Voters  int    `default:"3" help:"Processes that vote."`
+	Members int    `default:"4" help:"Processes that want duties."`
+	Duties  int    `default:"2" help:"Duties that all of them want."`
+	Faults  int    `default:"12" help:"Faults of each seed."`
+	Length  int    `default:"60" help:"Seconds of each seed; the last 25 are without faults."`
+	JSON    string `name:"json" placeholder:"FILE" help:"Keep the results there."`
+}
+
+func (g *groupSize) size() groupmodel.Size {
+	return groupmodel.Size{
+		Voters: g.Voters, Members: g.Members, Receivers: 2, Duties: g.Duties,
+		Length: time.Duration(g.Length) * time.Second, Faults: g.Faults,
+	}
+}
+
+type groupModelCmd struct {
+	groupSize
+	Workers int  `default:"0" help:"Processes side by side; 0: one a core."`
+	Child   bool `hidden:"" help:"Play the seeds here, and print each result."`
+}
+
+func (c *groupModelCmd) Run(ctx context.Context, o *output) error {
+	if c.Child {
+		return c.child(ctx, o)
+	}
+	if c.Workers == 0 {
+		c.Workers = runtime.NumCPU()
+	}
+	// The engine draws chance from what is one in a process: seeds side by side are in processes of their own.
+	results, err := c.spread(ctx, o)
+	if err != nil {
+		return err
+	}
+	acts, fenced, grants := 0, 0, 0
+	unheld := 0.0
+	for _, r := range results {
+		acts, fenced, grants, unheld = acts+r.Acts, fenced+r.Fenced, grants+r.Grants, unheld+r.Unheld
+	}
+	broken := []told{}
+	for _, r := range results {
+		if len(r.Broken) > 0 {
+			broken = append(broken, told{r.Seed, r.Broken, r.Faults})
+		}
+	}
+	fmt.Fprintf(o.out, "%d seeds, %d grants, %d acts, %d refused by their token, a duty held by nobody %.1f%% of the time\n",
+		len(results), grants, acts, fenced, 100*unheld/float64(max(len(results), 1)))
+	return c.end(o, "model", results, broken)
+}
+
+// told is a seed that broke something.
+type told struct {
+	seed           uint64
+	broken, faults []string
+}
+
+// end tells what was broken, keeps the results, and gives the exit code.
+func (g *groupSize) end(o *output, verb string, results any, broken []told) error {
+	for _, b := range broken {
+		fmt.Fprintf(o.out, "seed %d BROKEN: %s\n", b.seed, b.broken[0])
+		for _, f := range b.faults {
+			fmt.Fprintln(o.out, " ", f)
+		}
+		fmt.Fprintf(o.out, "again: notchlab group %s --seed %d --runs 1 --voters %d --members %d --duties %d --faults %d --length %d\n",
+			verb, b.seed, g.Voters, g.Members, g.Duties, g.Faults, g.Length)
+	}
+	if g.JSON != "" {
+		if err := write(g.JSON, results); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(o.out, "%d seeds broke something\n", len(broken))
+	if len(broken) > 0 {
+		return errFails
+	}
+	return nil
+}
+
+func (c *groupModelCmd) child(ctx context.Context, o *output) error {
+	enc := json.NewEncoder(o.out)
+	for i := range c.Runs {
+		if ctx.Err() != nil {
+			break
+		}
+		if err := enc.Encode(groupmodel.Play(c.Seed+uint64(i), c.size())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *groupModelCmd) spread(ctx context.Context, o *output) ([]groupmodel.Result, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	const share = 20
+	bar := progressbar.NewOptions(c.Runs, progressbar.OptionSetWriter(o.err), progressbar.OptionClearOnFinish())
+	var (
+		mu   sync.Mutex
+		all  []groupmodel.Result
+		work = make(chan int)
+		over sync.WaitGroup
+		bad  error
+	)
+	for range c.Workers {
+		over.Go(func() {
+			for from := range work {
+				n := min(share, c.Runs-from)
+				cmd := exec.CommandContext(ctx, self, "group", "model", "--child", fmt.Sprintf("--seed=%d", c.Seed+uint64(from)), fmt.Sprintf("--runs=%d", n),
+					fmt.Sprintf("--voters=%d", c.Voters), fmt.Sprintf("--members=%d", c.Members), fmt.Sprintf("--duties=%d", c.Duties),
+					fmt.Sprintf("--faults=%d", c.Faults), fmt.Sprintf("--length=%d", c.Length))
+				cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+				cmd.Stderr = o.err
+				out, err := cmd.StdoutPipe()
+				if err == nil {
+					err = cmd.Start()
+				}
+				got := 0
+				if err == nil {
+					for dec := json.NewDecoder(out); ; got++ {
+						var r groupmodel.Result
+						if dec.Decode(&r) != nil {
+							break
+						}
+						mu.Lock()
+						all = append(all, r)
+						mu.Unlock()
+						_ = bar.Add(1)
+					}
+					err = cmd.Wait()
+				}
+				if err == nil && got < n {
+					err = fmt.Errorf("%d of %d seeds from %d were played", got, n, from)
+				}
+				if err != nil {
+					mu.Lock()
+					bad = err
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for from := 0; from < c.Runs; from += share {
+		work <- from
+	}
+	close(work)
+	over.Wait()
+	slices.SortFunc(all, func(a, b groupmodel.Result) int { return int(int64(a.Seed) - int64(b.Seed)) })
+	return all, bad
+}
+
+type groupRigCmd struct {
+	groupSize
+	Beside  int    `default:"2" help:"Seeds that are played side by side."`
+	Program string `placeholder:"FILE" help:"The voter; piernotch-voter beside this program is the default."`
+	Logs    string `placeholder:"DIR" help:"Keep configurations, disks and logs there."`
+}
+
+func (c *groupRigCmd) Run(ctx context.Context, o *output) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if c.Program == "" {
+		c.Program = filepath.Join(filepath.Dir(self), "piernotch-voter")
+	}
+	dir := c.Logs
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "group"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	}
+	var (
+		mu      sync.Mutex
+		all     []grouprig.Result
+		seeds   = make(chan uint64)
+		over    sync.WaitGroup
+		failure error
+	)
+	bar := progressbar.NewOptions(c.Runs, progressbar.OptionSetWriter(o.err), progressbar.OptionClearOnFinish())
+	for range c.Beside {
+		over.Go(func() {
+			for seed := range seeds {
+				own := filepath.Join(dir, fmt.Sprint(seed))
+				err := os.MkdirAll(own, 0o700)
+				var r grouprig.Result
+				if err == nil {
+					r, err = grouprig.Run(ctx, grouprig.Options{Voter: c.Program, Holder: self, Seed: seed, Size: c.size(), Dir: own})
+				}
+				mu.Lock()
+				if err != nil {
+					failure = fmt.Errorf("seed %d: %w", seed, err)
+				} else {
+					all = append(all, r)
+				}
+				mu.Unlock()
+				_ = bar.Add(1)
+			}
+		})
+	}
+	for i := 0; i < c.Runs && ctx.Err() == nil; i++ {
+		seeds <- c.Seed + uint64(i)
+	}
+	close(seeds)
+	over.Wait()
+	if failure != nil {
+		return failure
+	}
+	slices.SortFunc(all, func(a, b grouprig.Result) int { return int(int64(a.Seed) - int64(b.Seed)) })
+	acts, fenced, grants := 0, 0, 0
+	var gaps []float64
+	broken := []told{}
+	for _, r := range all {
+		acts, fenced, grants, gaps = acts+r.Acts, fenced+r.Fenced, grants+r.Grants, append(gaps, r.Gaps...)
+		if len(r.Broken) > 0 {
+			broken = append(broken, told{r.Seed, r.Broken, r.Faults})
+		}
+	}
+	slices.Sort(gaps)
+	fmt.Fprintf(o.out, "%d seeds, %d grants, %d acts, %d refused by their token", len(all), grants, acts, fenced)
+	if n := len(gaps); n > 0 {
+		fmt.Fprintf(o.out, "; from one holder to the next %.3f s in the median, %.3f s at most", gaps[n/2], gaps[n-1])
+	}
+	fmt.Fprintln(o.out)
+	return c.end(o, "rig", all, broken)
+}
+
+// holdCmd is a process of the rig.
+type holdCmd struct {
+	File string `arg:"" help:"The group's file."`
+	Rig  string `arg:"" help:"Where the rig listens."`
+}
+
+func (c *holdCmd) Run(ctx context.Context) error { return grouprig.Act(ctx, c.File, c.Rig) }
--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -33,6 +33,8 @@
 	Drill    drillCmd    `cmd:"" help:"Play the failures that a service must get over by itself, and say how long it took."`
 	Handover handoverCmd `cmd:"" help:"Hand balancers over to processes beside them, again and again, under load and with faults."`
 	Chaos    chaosCmd    `cmd:"" help:"Put faults between balancers, servers and roster by a seeded schedule, and judge what clients and servers saw."`
+	Group    groupCmd    `cmd:"" help:"Put faults between the voters and holders of a control group, in simulated time or on processes."`
+	Hold     holdCmd     `cmd:"" hidden:"" help:"A process that holds duties, for the rig."`
 	Emulate  emulateCmd  `cmd:"" help:"Stand-in feed servers and a roster alone, for any balancer."`
 	Load     loadCmd     `cmd:"" help:"Clients alone, for any balancer."`
 	Plot     plotCmd     `cmd:"" help:"Draw a result (.svg, .png) or make a report of it (.html)."`
--- a/cmd/piernotch/main.go
+++ b/cmd/piernotch/main.go
@@ -22,6 +22,7 @@
 type cli struct {
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve (what happens without a command)."`
 	Check   checkCmd   `cmd:"" help:"Check a configuration: all that is wrong is told, and nothing started."`
+	Duties  dutiesCmd  `cmd:"" help:"Show which balancer of a group holds which duty."`
 	Version versionCmd `cmd:"" help:"Say what was built."`
 }
 
@@ -88,7 +89,10 @@
 	return nil
 }
 
-type serveCmd struct{ source }
+type serveCmd struct {
+	source
+	Group string `placeholder:"FILE" help:"Take part in the group that the file tells of; without it, in none."`
+}
 
 func (c *serveCmd) Run() error {
 	// Before anything else: left alone, a SIGHUP or SIGTERM ends the program.
@@ -111,10 +115,16 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
+	leave, err := join(c.Group)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
 				n.Terminate()
+				go leave() // a duty passes on while clients are still served
 			} else if next, err := c.again(cfg); err != nil {
 				slog.Error("configuration not taken, the old one stands", "err", err)
 			} else {
--- /dev/null
+++ b/internal/group/member/member.go
@@ -0,0 +1,288 @@
+// Package member is a balancer's side of the control group: it wants duties, holds them as long as its
+// own clock allows, and asks the voters for them one after the other until it finds the one that leads.
+// Without the group it holds nothing, and whoever asks it for leave to act is told no.
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"piernotch/internal/group"
+	"piernotch/internal/group/lease"
+	"piernotch/internal/group/message"
+	"piernotch/internal/group/peer"
+)
+
+const (
+	turn   = 50 * time.Millisecond
+	redial = 200 * time.Millisecond
+	silent = time.Second // a voter that owes an answer for so long is left for another
+)
+
+// Seen is told of every question and its answer, for a judge; err is set where none came.
+type Seen func(ask message.Question, asked, answered time.Time, answer message.Answer, err error)
+
+// Member is a running member.
+type Member struct {
+	cfg   group.Config
+	me    lease.Member
+	terms lease.Terms
+	begun time.Time
+	seen  Seen
+	stop  context.CancelFunc
+	done  chan struct{}
+
+	mu      sync.Mutex
+	holders map[lease.Duty]*lease.Holder
+	was     map[lease.Duty]uint64 // the token last told in the log; 0: none
+	out     map[uint64]question
+	key     uint64
+	conn    *peer.Conn
+	leader  string
+	closing bool
+}
+
+type question struct {
+	q     message.Question
+	asked time.Time
+	then  func(message.Answer)
+}
+
+// Start has a member want the duties of its configuration. seen may be nil.
+func Start(cfg group.Config, seen Seen) *Member {
+	m := &Member{
+		cfg: cfg, me: lease.Member{Name: cfg.Self, Run: rand.Uint64()}, terms: lease.Terms{Length: cfg.Length, Drift: cfg.Drift},
+		begun: time.Now(), seen: seen, done: make(chan struct{}),
+		holders: map[lease.Duty]*lease.Holder{}, was: map[lease.Duty]uint64{}, out: map[uint64]question{},
+	}
+	for _, d := range cfg.Duties {
+		m.holders[lease.Duty(d)] = lease.NewHolder(m.terms, m.me, lease.Duty(d))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	m.stop = stop
+	go func() {
+		defer close(m.done)
+		var all sync.WaitGroup
+		all.Go(func() { m.connect(ctx) })
+		m.turns(ctx)
+		all.Wait()
+	}()
+	return m
+}
+
+// now is the clock that holders go by. It is monotonic; it stands while a machine is suspended as a
+// whole, which is why receivers check tokens.
+func (m *Member) now() time.Duration { return time.Since(m.begun) }
+
+// May is the look at the clock before an act: the token to act under, if the duty is held.
+func (m *Member) May(d lease.Duty) (token uint64, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h := m.holders[d]; h != nil {
+		return h.May(m.now())
+	}
+	return 0, false
+}
+
+func (m *Member) turns(ctx context.Context) {
+	ticker := time.NewTicker(turn)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		m.mu.Lock()
+		now := m.now()
+		for d, h := range m.holders {
+			m.tell(d, h, now)
+			// Who waits is told when the duty comes free; looking now and then is for when that is lost.
+			pause := m.terms.Length/2 + rand.N(m.terms.Length/2)
+			if a, is := h.Next(now, pause); is {
+				m.hold(h, a)
+			}
+		}
+		m.silence()
+		m.mu.Unlock()
+	}
+}
+
+// tell logs when a duty comes or goes.
+func (m *Member) tell(d lease.Duty, h *lease.Holder, now time.Duration) {
+	token, _ := h.May(now)
+	switch was := m.was[d]; {
+	case token == was:
+		return
+	case token == 0:
+		slog.Info("group: duty is gone", "duty", d, "token", was)
+	default:
+		slog.Info("group: duty is held", "duty", d, "token", token)
+	}
+	m.was[d] = token
+}
+
+// hold asks for a holder.
+func (m *Member) hold(h *lease.Holder, a lease.Ask) {
+	kind := message.Change
+	if a.Renew {
+		kind = message.Renew
+	}
+	m.ask(message.Question{Kind: kind, Command: a.Command}, func(b message.Answer) {
+		if final(b.Err) {
+			h.Answered(m.now(), a.Seq, b.Grant, b.Err)
+		}
+	})
+}
+
+// final tells whether an error is the group's answer, and not the lack of one.
+func final(err error) bool {
+	return err == nil || errors.Is(err, lease.ErrHeld) || errors.Is(err, lease.ErrNotHeld)
+}
+
+// ask sends a question, if there is a connection; m.mu is held, then is called under it.
+func (m *Member) ask(q message.Question, then func(message.Answer)) {
+	if m.conn == nil {
+		return
+	}
+	m.key++
+	q.Key = m.key
+	m.out[q.Key] = question{q, time.Now(), then}
+	m.conn.Send(peer.Frame{Ask: &peer.Ask{Key: q.Key, Kind: q.Kind, Command: q.Command, Voter: q.Voter}})
+}
+
+// silence leaves a voter that does not answer.
+func (m *Member) silence() {
+	for _, q := range m.out {
+		if time.Since(q.asked) > silent && m.conn != nil {
+			m.conn.Close()
+			m.leader = ""
+			return
+		}
+	}
+}
+
+// connect keeps a connection to the voter that leads, or to any until one tells.
+func (m *Member) connect(ctx context.Context) {
+	next := rand.IntN(len(m.cfg.Voters))
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		to := m.cfg.Voters[next%len(m.cfg.Voters)]
+		for _, v := range m.cfg.Voters {
+			if v.Name == m.leader {
+				to = v
+			}
+		}
+		m.leader = ""
+		m.mu.Unlock()
+		next++
+		c, err := peer.Dial(to.Address, func() peer.Hail { return peer.Hail{Group: m.cfg.Name, Name: m.cfg.Self} })
+		if err == nil {
+			ended := context.AfterFunc(ctx, c.Close)
+			m.mu.Lock()
+			m.conn = c
+			m.mu.Unlock()
+			m.read(c)
+			ended()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(rand.N(redial)):
+		}
+	}
+}
+
+func (m *Member) read(c *peer.Conn) {
+	defer func() {
+		m.mu.Lock()
+		m.conn = nil
+		for k, q := range m.out {
+			m.saw(q, message.Answer{}, peer.ErrClosed)
+			delete(m.out, k)
+		}
+		m.mu.Unlock()
+	}()
+	for {
+		f, err := c.Read()
+		if err != nil {
+			return
+		}
+		if f.Tell == nil {
+			continue
+		}
+		t := f.Tell
+		m.mu.Lock()
+		if h := m.holders[t.Free]; t.Key == 0 && h != nil {
+			h.Nudge()
+		}
+		q, is := m.out[t.Key]
+		delete(m.out, t.Key)
+		if is {
+			a := message.Answer{Key: t.Key, Grant: t.Grant, Image: t.Image, Err: t.Code.Err()}
+			m.saw(q, a, nil)
+			q.then(a)
+			if errors.Is(a.Err, message.ErrNotLeading) {
+				m.leader = t.Leader
+				c.Close()
+			}
+		}
+		m.mu.Unlock()
+	}
+}
+
+func (m *Member) saw(q question, a message.Answer, err error) {
+	if m.seen != nil {
+		m.seen(q.q, q.asked, time.Now(), a, err)
+	}
+}
+
+// List asks the group for all that is held, and who votes.
+func (m *Member) List(ctx context.Context) (message.Image, error) {
+	for {
+		got := make(chan message.Answer, 1)
+		m.mu.Lock()
+		m.ask(message.Question{Kind: message.List}, func(a message.Answer) { got <- a })
+		m.mu.Unlock()
+		select {
+		case a := <-got:
+			if a.Err == nil {
+				return a.Image, nil
+			}
+		case <-time.After(silent / 2):
+		case <-ctx.Done():
+			return message.Image{}, fmt.Errorf("no voter that leads was found: %w", ctx.Err())
+		}
+	}
+}
+
+// Close gives up all duties: it stops at once, and tells the group for as long as patience lasts, so
+// that others need not wait for the end of the term.
+func (m *Member) Close(patience time.Duration) {
+	m.mu.Lock()
+	for _, h := range m.holders {
+		h.Leave()
+	}
+	m.mu.Unlock()
+	for end := time.Now().Add(patience); time.Now().Before(end) && m.holds(); {
+		time.Sleep(turn / 5)
+	}
+	m.stop()
+	<-m.done
+}
+
+// holds tells whether the group has not heard yet that a duty was given up.
+func (m *Member) holds() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range m.holders {
+		if h.Owes(m.now()) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/group/message/message.go
@@ -0,0 +1,68 @@
+// Package message holds what the voters of a control group and its members say to each other: plain
+// values, which link no engine of agreement.
+package message
+
+import (
+	"errors"
+
+	"piernotch/internal/group/lease"
+)
+
+// Voter is a member that votes: a store, by the number that was drawn when it was made. A name is no
+// identity: an emptied disk comes back as another voter.
+type Voter struct {
+	ID      uint64 `cbor:"1,keyasint"`
+	Name    string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+}
+
+// Errors of a question. ErrUnknown says that a change may have been made, or may be made yet.
+var (
+	ErrNotLeading = errors.New("this member does not lead the group")
+	ErrUnknown    = errors.New("leadership was lost: the change may have been made")
+	ErrBusy       = errors.New("too many questions wait")
+	ErrNameInUse  = errors.New("another voter of this name is heard")
+)
+
+// Kind is what a question is about.
+type Kind uint8
+
+// Kinds of questions.
+const (
+	Change Kind = iota + 1 // a command
+	Renew                  // prolong what Command.Who holds of Command.Duty under Command.Token
+	Read                   // who holds Command.Duty
+	Admit                  // take Voter in, in place of one of its name that is not heard of
+	List                   // all that is held, and who votes
+)
+
+// Question is asked of the leader. Key is the asker's, and comes with the answer.
+type Question struct {
+	Key     uint64
+	Kind    Kind
+	Command lease.Command
+	Voter   Voter
+}
+
+// Answer is the group's.
+type Answer struct {
+	Key   uint64
+	Grant lease.Grant
+	Image Image // of List
+	Err   error
+}
+
+// Image is the state that all members come to.
+type Image struct {
+	Table  lease.Image `cbor:"1,keyasint"`
+	Voters []Voter     `cbor:"2,keyasint"`
+}
+
+// Hello is what a voter says of itself before it takes part: an older copy of its disk would vote twice,
+// or have forgotten what it promised to keep.
+type Hello struct {
+	Starts uint64 // how often its store was opened, this time included
+	Term   uint64
+	Vote   uint64
+	Last   uint64
+}
--- /dev/null
+++ b/internal/group/peer/peer_test.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"bytes"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/group/lease"
+	"piernotch/internal/group/message"
+)
+
+func TestFramesComeAsTheyWereSent(t *testing.T) {
+	yes := true
+	for _, f := range []Frame{
+		{Hail: &Hail{Magic: magic, Version: 1, Group: "g", Name: "n", ID: 7, Born: true}},
+		{Vote: &Vote{From: 1, To: 2, Hello: &message.Hello{Starts: 3}, Welcome: &yes, Raft: []byte{1, 2}}},
+		{Ask: &Ask{Key: 9, Kind: message.Change, Command: lease.Command{Op: lease.HandOn, Duty: "d", Token: 4, To: lease.Member{Name: "m", Run: 5}}}},
+		{Tell: &Tell{Key: 9, Code: CodeOf(lease.ErrHeld), Grant: lease.Grant{Duty: "d", Token: 3}, Leader: "n1"}},
+	} {
+		data, err := Append(nil, f)
+		require.NoError(t, err)
+		got, err := Read(bytes.NewReader(data))
+		require.NoError(t, err)
+		require.Equal(t, f, got)
+		for i := range data {
+			spoilt := bytes.Clone(data)
+			spoilt[i] ^= 0x40
+			_, err := Read(bytes.NewReader(spoilt))
+			require.Error(t, err, "byte %d", i)
+			_, err = Read(bytes.NewReader(data[:i]))
+			require.Error(t, err, "cut at %d", i)
+		}
+	}
+	for i, err := range codes {
+		require.Equal(t, err, CodeOf(err).Err(), "code %d", i)
+	}
+	require.Equal(t, message.ErrUnknown, Code(200).Err())
+}
+
+// What does not belong to the group is refused with a word that names it.
+func TestStrangersAreRefused(t *testing.T) {
+	us := func() Hail { return Hail{Group: "g", Name: "us"} }
+	frame := func(h Hail) []byte {
+		data, err := Append(nil, Frame{Hail: &h})
+		require.NoError(t, err)
+		return data
+	}
+	for want, says := range map[string][]byte{
+		`"they" is of group "other", this is "g"`:   frame(Hail{Magic: magic, Version: Version, Group: "other", Name: "they"}),
+		`"they" speaks version 2, this program 1`:   frame(Hail{Magic: magic, Version: 2, Group: "g", Name: "they"}),
+		"it does not begin with a hail":             frame(Hail{Magic: "else"}),
+		"it says 1195725856 bytes, at most 1048576": []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"its checksum is another":                   append([]byte{0, 0, 0, 1}, make([]byte, 9)...),
+		"cut short":                                 append([]byte{0, 0, 0, 9}, make([]byte, 9)...),
+	} {
+		here, there := net.Pipe()
+		go func() {
+			_, _ = Read(there)
+			_, _ = there.Write(says)
+			_ = there.Close()
+		}()
+		_, err := Shake(here, us)
+		require.ErrorContains(t, err, want)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	data, err := Append(nil, Frame{Hail: &Hail{Magic: magic}})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, err := Read(bytes.NewReader(data))
+		if err == nil {
+			_, err = Append(nil, frame)
+			require.NoError(t, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/group/plant/on.go
@@ -0,0 +1,11 @@
+//go:build planted
+
+package plant
+
+var planted string
+
+// Is tells whether the fault of that name is planted.
+func Is(name string) bool { return name == planted }
+
+// Set plants one fault, or none with "". It must not be called while anything runs.
+func Set(name string) { planted = name }
--- /dev/null
+++ b/internal/group/voter/voter.go
@@ -0,0 +1,487 @@
+// Package voter runs one voter of a control group: it drives the pure machine of package agree with a
+// file, a clock and connections. One goroutine owns the machine; readers of connections and the ticker
+// hand it what happened.
+package voter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"piernotch/internal/group"
+	"piernotch/internal/group/agree"
+	"piernotch/internal/group/lease"
+	"piernotch/internal/group/message"
+	"piernotch/internal/group/peer"
+)
+
+const (
+	tick      = 100 * time.Millisecond
+	redial    = 250 * time.Millisecond
+	admitEach = time.Second
+	mostQueue = 1024 // who waits for a duty; others look again by themselves
+	atOnce    = 4    // of those are told that it has come free: one will have it
+	mostConns = 1024 // of members and voters; the rest is turned away
+	mostWait  = 4096 // events that wait for the machine
+)
+
+// Voter is a running voter.
+type Voter struct {
+	cfg      group.Config
+	begun    time.Time
+	events   chan func()
+	ctx      context.Context
+	stop     context.CancelFunc
+	wait     sync.WaitGroup
+	listener net.Listener
+
+	disk    *agree.Disk
+	machine *agree.Machine // nil until the group is known
+
+	mu    sync.Mutex
+	hail  peer.Hail
+	conns int
+
+	out   map[string]*link // to other voters, by name
+	asked uint64
+	asks  map[uint64]func(message.Answer)
+	hails map[string]peer.Hail        // the last of each other voter
+	told  string                      // who was last told to lead
+	queue map[lease.Duty][]*peer.Conn // who was refused a duty, and is told when it comes free
+	admit time.Duration
+}
+
+// link is the connection to another voter.
+type link struct {
+	to   group.Voter
+	conn *peer.Conn // nil: it does not stand
+}
+
+// Start opens the voter's file and listens. A file that cannot be read is set aside: the voter comes
+// back as another one, which the group has to take in.
+func Start(cfg group.Config) (*Voter, error) {
+	me, is := cfg.Votes()
+	if !is {
+		return nil, fmt.Errorf("group.self: %q is none of the voters", cfg.Self)
+	}
+	v := &Voter{
+		cfg: cfg, begun: time.Now(), events: make(chan func(), mostWait), out: map[string]*link{},
+		asks: map[uint64]func(message.Answer){}, hails: map[string]peer.Hail{}, queue: map[lease.Duty][]*peer.Conn{},
+	}
+	if err := v.open(); err != nil {
+		return nil, err
+	}
+	var err error
+	if v.listener, err = net.Listen("tcp", me.Address); err != nil {
+		_ = v.disk.Close()
+		return nil, fmt.Errorf("group.voter: %w", err)
+	}
+	v.ctx, v.stop = context.WithCancel(context.Background())
+	for _, o := range cfg.Voters {
+		if o.Name != cfg.Self {
+			l := &link{to: o}
+			v.out[o.Name] = l
+			v.wait.Go(func() { v.keep(l) })
+		}
+	}
+	v.wait.Go(v.accept)
+	v.wait.Go(v.run)
+	return v, nil
+}
+
+func (v *Voter) now() time.Duration { return time.Since(v.begun) }
+
+// open reads the file and makes the machine, if the file is of a group.
+func (v *Voter) open() error {
+	disk, log, err := agree.OpenDisk(v.cfg.Disk, v.cfg.Name, v.cfg.Self)
+	if errors.Is(err, agree.ErrSpoilt) {
+		aside, moved := agree.SetAside(v.cfg.Disk)
+		if moved != nil {
+			return errors.Join(err, moved)
+		}
+		slog.Error("group: the voter's file is spoilt, set aside; this voter comes back as a new one", "err", err, "aside", aside)
+		disk, log, err = agree.OpenDisk(v.cfg.Disk, v.cfg.Name, v.cfg.Self)
+	}
+	if err != nil {
+		return fmt.Errorf("group.disk: %w", err)
+	}
+	v.disk = disk
+	id := disk.Identity()
+	v.mu.Lock()
+	v.hail = peer.Hail{Group: v.cfg.Name, Name: v.cfg.Self, ID: id.ID, Born: id.Born}
+	v.mu.Unlock()
+	slog.Info("group: voter", "group", v.cfg.Name, "name", v.cfg.Self, "id", fmt.Sprintf("%x", id.ID), "starts", id.Starts, "known", id.Born)
+	if !id.Born {
+		return nil
+	}
+	return v.make(log)
+}
+
+func (v *Voter) make(log agree.Log) error {
+	id := v.disk.Identity()
+	var err error
+	v.machine, err = agree.New(agree.Config{
+		ID: id.ID, Run: rand.Uint64(), Starts: id.Starts, Log: log,
+		Terms: lease.Terms{Length: v.cfg.Length, Drift: v.cfg.Drift},
+	})
+	return err
+}
+
+func (v *Voter) us() peer.Hail {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.hail
+}
+
+// post hands something to the owner of the machine, or drops it where too much waits.
+func (v *Voter) post(f func()) {
+	select {
+	case v.events <- f:
+	case <-v.ctx.Done():
+	default:
+	}
+}
+
+func (v *Voter) run() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-v.ctx.Done():
+			return
+		case f := <-v.events:
+			f()
+			for range len(v.events) { // what has come together is written together
+				(<-v.events)()
+			}
+		case <-ticker.C:
+			v.tick()
+		}
+		if err := v.work(); err != nil {
+			slog.Error("group: the voter ends, its file cannot be written", "err", err)
+			v.stop()
+			return
+		}
+	}
+}
+
+func (v *Voter) tick() {
+	if v.machine == nil {
+		v.begin()
+		return
+	}
+	v.machine.Tick(v.now())
+	if v.machine.Old() {
+		v.renew()
+		return
+	}
+	v.join()
+	leader, _ := v.machine.Leader()
+	if leader.Name != v.told {
+		v.told = leader.Name
+		slog.Info("group: leader", "name", leader.Name, "id", fmt.Sprintf("%x", leader.ID))
+	}
+}
+
+// begin makes the file that of a member of the group. Where all voters are here and none has ever been
+// part of it, the group begins; where one has, this one asks to be taken in. As long as a voter is
+// missing nobody knows which, and nothing happens: an empty disk is no proof that there is no group.
+func (v *Voter) begin() {
+	me := v.us()
+	all := []message.Voter{{ID: me.ID, Name: me.Name}}
+	known := false
+	for _, o := range v.cfg.Voters {
+		if h, is := v.hails[o.Name]; is {
+			known = known || h.Born
+			all = append(all, message.Voter{ID: h.ID, Name: h.Name})
+		}
+	}
+	var err error
+	switch {
+	case known:
+		err = v.make(agree.Log{})
+	case len(all) == len(v.cfg.Voters):
+		slices.SortFunc(all, func(a, b message.Voter) int { return cmpName(a.Name, b.Name) })
+		log := agree.Born(all)
+		if err = v.disk.Begin(log); err == nil {
+			slog.Info("group: begins", "group", v.cfg.Name, "voters", len(all))
+			err = v.make(log)
+		}
+	default:
+		return
+	}
+	if err != nil {
+		slog.Error("group: does not begin", "err", err)
+		v.stop()
+		return
+	}
+	v.mu.Lock()
+	v.hail.Born = v.disk.Identity().Born
+	v.mu.Unlock()
+}
+
+func cmpName(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// join asks to be taken in, as long as this disk is not one that votes.
+func (v *Voter) join() {
+	id := v.us().ID
+	if v.now() < v.admit || slices.ContainsFunc(v.machine.Voters(), func(o message.Voter) bool { return o.ID == id }) {
+		return
+	}
+	v.admit = v.now() + admitEach
+	for _, l := range v.out {
+		if l.conn != nil {
+			l.conn.Send(peer.Frame{Ask: &peer.Ask{Kind: message.Admit, Voter: message.Voter{ID: id, Name: v.cfg.Self}}})
+		}
+	}
+}
+
+// renew gives up a disk that is older than what the group has seen of it.
+func (v *Voter) renew() {
+	_ = v.disk.Close()
+	aside, err := agree.SetAside(v.cfg.Disk)
+	slog.Error("group: the voter's file is an older copy, set aside; this voter comes back as a new one", "aside", aside)
+	v.machine = nil
+	if err == nil {
+		err = v.open()
+	}
+	if err != nil {
+		slog.Error("group: the voter ends", "err", err)
+		v.stop()
+		return
+	}
+	for _, l := range v.out { // who hears of the new disk by a new hail
+		if l.conn != nil {
+			l.conn.Close()
+		}
+	}
+}
+
+// work writes, sends and answers what the machine has come to.
+func (v *Voter) work() error {
+	for v.machine != nil {
+		w, any := v.machine.Work()
+		if !any {
+			break
+		}
+		if err := v.disk.Write(w); err != nil {
+			return err
+		}
+		for _, m := range w.Messages {
+			v.send(m)
+		}
+		if err := v.machine.Done(v.now(), w); err != nil {
+			return err
+		}
+	}
+	if v.machine == nil {
+		return nil
+	}
+	if born := v.disk.Identity().Born; born && !v.us().Born {
+		v.mu.Lock()
+		v.hail.Born = true
+		v.mu.Unlock()
+	}
+	for _, a := range v.machine.Answers() {
+		if back := v.asks[a.Key]; back != nil {
+			delete(v.asks, a.Key)
+			back(a)
+		}
+	}
+	for _, d := range v.machine.Freed() {
+		v.freed(d)
+	}
+	return nil
+}
+
+// freed tells some of those that wait for a duty, and whoever it was handed to.
+func (v *Voter) freed(d lease.Duty) {
+	all := v.queue[d]
+	delete(v.queue, d)
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	holder := v.machine.Holder(d)
+	for i, c := range all {
+		if i < atOnce || c.Them.Name == holder {
+			c.Send(peer.Frame{Tell: &peer.Tell{Free: d}})
+		} else {
+			v.queue[d] = append(v.queue[d], c)
+		}
+	}
+}
+
+func (v *Voter) send(m agree.Message) {
+	p := &peer.Vote{From: m.From, To: m.To, Hello: m.Hello, Welcome: m.Welcome}
+	if m.Raft != nil {
+		var err error
+		if p.Raft, err = proto.Marshal(m.Raft); err != nil {
+			slog.Error("group: a message cannot be written", "err", err)
+			return
+		}
+	}
+	for name, l := range v.out {
+		if l.conn != nil && v.hails[name].ID == m.To {
+			l.conn.Send(peer.Frame{Vote: p})
+		}
+	}
+}
+
+// keep holds the connection to another voter, and makes it again when it ends.
+func (v *Voter) keep(l *link) {
+	said := ""
+	for v.ctx.Err() == nil {
+		c, err := peer.Dial(l.to.Address, v.us)
+		if err == nil && c.Them.Name != l.to.Name {
+			err = fmt.Errorf("%q answers there", c.Them.Name)
+			c.Close()
+		}
+		if err != nil {
+			if said != err.Error() {
+				said = err.Error()
+				slog.Warn("group: no connection to a voter", "name", l.to.Name, "address", l.to.Address, "err", err)
+			}
+		} else {
+			said = ""
+			v.post(func() { l.conn, v.hails[l.to.Name] = c, c.Them })
+			v.read(c)
+			v.post(func() {
+				if l.conn == c {
+					l.conn = nil
+				}
+			})
+		}
+		select {
+		case <-v.ctx.Done():
+		case <-time.After(redial):
+		}
+	}
+}
+
+func (v *Voter) accept() {
+	for {
+		nc, err := v.listener.Accept()
+		if err != nil {
+			if v.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		v.mu.Lock()
+		v.conns++
+		room := v.conns <= mostConns
+		v.mu.Unlock()
+		if !room {
+			_ = nc.Close()
+			v.left()
+			continue
+		}
+		v.wait.Go(func() {
+			defer v.left()
+			c, err := peer.Shake(nc, v.us)
+			if err != nil {
+				slog.Warn("group: a caller is refused", "from", nc.RemoteAddr(), "err", err)
+				return
+			}
+			v.read(c)
+			v.post(func() {
+				for d, q := range v.queue {
+					if v.queue[d] = slices.DeleteFunc(q, func(o *peer.Conn) bool { return o == c }); len(v.queue[d]) == 0 {
+						delete(v.queue, d)
+					}
+				}
+			})
+		})
+	}
+}
+
+func (v *Voter) left() {
+	v.mu.Lock()
+	v.conns--
+	v.mu.Unlock()
+}
+
+// read takes frames until the connection ends.
+func (v *Voter) read(c *peer.Conn) {
+	ended := context.AfterFunc(v.ctx, c.Close)
+	defer ended()
+	defer c.Close()
+	for {
+		f, err := c.Read()
+		if err != nil {
+			if errors.Is(err, peer.ErrFrame) {
+				slog.Warn("group: a connection is closed", "name", c.Them.Name, "err", err)
+			}
+			return
+		}
+		switch {
+		case f.Vote != nil:
+			v.post(func() { v.vote(c, f.Vote) })
+		case f.Ask != nil:
+			v.post(func() { v.ask(c, f.Ask) })
+		}
+	}
+}
+
+func (v *Voter) vote(c *peer.Conn, p *peer.Vote) {
+	if v.machine == nil || p.To != v.us().ID || p.From != c.Them.ID {
+		return
+	}
+	m := agree.Message{From: p.From, To: p.To, Hello: p.Hello, Welcome: p.Welcome}
+	if len(p.Raft) > 0 {
+		m.Raft = &raftpb.Message{}
+		if err := proto.Unmarshal(p.Raft, m.Raft); err != nil {
+			slog.Warn("group: a message cannot be read", "name", c.Them.Name, "err", err)
+			c.Close()
+			return
+		}
+	}
+	if err := v.machine.Receive(m); err != nil {
+		slog.Warn("group: a message is refused", "name", c.Them.Name, "err", err)
+	}
+}
+
+// ask has the machine answer a question, whose asker may be gone by then.
+func (v *Voter) ask(c *peer.Conn, a *peer.Ask) {
+	tell := func(b message.Answer) {
+		t := &peer.Tell{Key: a.Key, Code: peer.CodeOf(b.Err), Grant: b.Grant, Image: b.Image, Leader: v.told}
+		c.Send(peer.Frame{Tell: t})
+		if q := v.queue[a.Command.Duty]; errors.Is(b.Err, lease.ErrHeld) && len(q) < mostQueue && !slices.Contains(q, c) {
+			v.queue[a.Command.Duty] = append(q, c)
+		}
+	}
+	if v.machine == nil {
+		tell(message.Answer{Err: message.ErrNotLeading})
+		return
+	}
+	v.asked++
+	v.asks[v.asked] = tell
+	v.machine.Ask(v.now(), message.Question{Key: v.asked, Kind: a.Kind, Command: a.Command, Voter: a.Voter})
+}
+
+// Ended is closed once the voter has ended, by itself or by Close.
+func (v *Voter) Ended() <-chan struct{} { return v.ctx.Done() }
+
+// Close ends the voter. What it has promised is on its disk.
+func (v *Voter) Close() {
+	v.stop()
+	_ = v.listener.Close()
+	v.wait.Wait()
+	_ = v.disk.Close()
+}
--- /dev/null
+++ b/internal/lab/groupmodel/groupmodel_test.go
@@ -0,0 +1,19 @@
+package groupmodel
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSchedules(t *testing.T) {
+	acts := 0
+	for seed := range uint64(40) {
+		r := Play(seed, Small)
+		require.Empty(t, r.Broken, "seed %d: %v", seed, r.Faults)
+		acts += r.Acts
+	}
+	require.Greater(t, acts, 40*300)
+	again := Play(7, Small)
+	require.Equal(t, Play(7, Small), again, "a seed brings a run back")
+}
--- /dev/null
+++ b/internal/lab/grouprig/actor.go
@@ -0,0 +1,96 @@
+// Package grouprig plays the control group on real processes: voters with a disk of their
+// own, holders that act under their duties, and a relay in every link. The schedules are those of
+// groupmodel; the judge sits in the rig and knows acts and calls alone.
+package grouprig
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"piernotch/internal/group"
+	"piernotch/internal/group/lease"
+	"piernotch/internal/group/member"
+	"piernotch/internal/group/message"
+)
+
+// line is what a holder says to the rig: an act, or a call and its answer.
+type line struct {
+	Name  string `json:"name"`
+	Act   *act   `json:"act,omitempty"`
+	Call  *call  `json:"call,omitempty"`
+	Ready bool   `json:"ready,omitempty"`
+}
+
+// act is done under a token by who looked at the clock at Looked, in Unix nanoseconds.
+type act struct {
+	Duty   lease.Duty `json:"duty"`
+	Token  uint64     `json:"token"`
+	Looked int64      `json:"looked"`
+}
+
+// call is a question and the group's answer.
+type call struct {
+	Kind     message.Kind  `json:"kind"`
+	Command  lease.Command `json:"command"`
+	Asked    int64         `json:"asked"`
+	Answered int64         `json:"answered"`
+	Grant    lease.Grant   `json:"grant"`
+	Err      string        `json:"err,omitempty"`
+}
+
+// each is how often a holder acts.
+const each = 20 * time.Millisecond
+
+// Act is the program of a holder: it wants the duties of its file, and acts under what it holds, until
+// the context ends.
+func Act(ctx context.Context, file, rig string) error {
+	cfg, err := group.LoadFile(file)
+	if err != nil {
+		return err
+	}
+	nc, err := net.Dial("tcp", rig)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	var mu sync.Mutex
+	enc := json.NewEncoder(nc)
+	say := func(l line) {
+		mu.Lock()
+		defer mu.Unlock()
+		l.Name = cfg.Self
+		_ = enc.Encode(l) // a rig that is gone has ended
+	}
+	m := member.Start(cfg, func(q message.Question, asked, answered time.Time, a message.Answer, err error) {
+		if err != nil || !final(a.Err) {
+			return
+		}
+		c := &call{Kind: q.Kind, Command: q.Command, Asked: asked.UnixNano(), Answered: answered.UnixNano(), Grant: a.Grant}
+		if a.Err != nil {
+			c.Err = a.Err.Error()
+		}
+		say(line{Call: c})
+	})
+	ticker := time.NewTicker(each)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.Close(500 * time.Millisecond)
+			return nil
+		case <-ticker.C:
+		}
+		for _, d := range cfg.Duties {
+			looked := time.Now().UnixNano()
+			if token, may := m.May(lease.Duty(d)); may {
+				say(line{Act: &act{lease.Duty(d), token, looked}})
+			}
+		}
+	}
+}
+
+// final tells whether an error is the group's answer, and not the lack of one.
+func final(err error) bool { return err == nil || err == lease.ErrHeld || err == lease.ErrNotHeld }
