--- a/cmd/notchlab/chaos.go
+++ b/cmd/notchlab/chaos.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"piernotch/internal/lab/chaos"
 	"piernotch/internal/lab/model"
@@ -24,8 +25,10 @@
 	Shrink    int      `default:"0" help:"Runs that may be spent on leaving out faults of a run that fails."`
 	Replay    string   `placeholder:"FILE" help:"Play the schedule in the file."`
 	Program   string   `placeholder:"FILE" help:"The balancer; piernotch beside this program is the default."`
+	Group     bool     `help:"The balancers share one watch of discovery, by a group of three voters (piernotch-voter beside this program); for schedules without links."`
 	Logs      string   `placeholder:"DIR" help:"Keep the balancers' configurations and logs there."`
 	JSON      string   `name:"json" placeholder:"FILE" help:"Keep the results there."`
+	voter     string
 }
 
 // chaosRun is what came of one schedule.
@@ -48,6 +51,9 @@
 	if err := beside(&c.Program); err != nil {
 		return err
 	}
+	if c.Group {
+		c.voter = filepath.Join(filepath.Dir(c.Program), "piernotch-voter")
+	}
 	var all []*chaosRun
 	bad := 0
 	for i := range c.Runs {
@@ -120,7 +126,7 @@
 	for _, s := range run.Steps {
 		run.Words = append(run.Words, s.String())
 	}
-	r, err := rehearse.Run(ctx, d, rehearse.Options{Program: c.Program, Logs: c.Logs, Faults: run.Steps})
+	r, err := rehearse.Run(ctx, d, rehearse.Options{Program: c.Program, Logs: c.Logs, Faults: run.Steps, Voter: c.voter})
 	run.Report = r
 	switch {
 	case r == nil || r.Void != "":
@@ -148,8 +154,8 @@
 
 func (c *chaosCmd) tell(o *output, run *chaosRun) {
 	k := run.Report.Counts
-	fmt.Fprintf(o.out, "%s, seed %d: %d tries, %d served, %d refused, %d failed, %d without an answer, %d broken, %d met no balancer\n",
-		run.Kind, run.Seed, k.Tries, k.Served, k.Refused, k.Failed, k.Unanswered, k.Broken, k.Unreached)
+	fmt.Fprintf(o.out, "%s, seed %d: %d tries, %d served, %d refused, %d failed, %d without an answer, %d broken, %d met no balancer, %d calls for the list\n",
+		run.Kind, run.Seed, k.Tries, k.Served, k.Refused, k.Failed, k.Unanswered, k.Broken, k.Unreached, run.Report.ListCalls)
 	if run.Failed == "" {
 		return
 	}
--- a/cmd/notchlab/group.go
+++ b/cmd/notchlab/group.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/schollz/progressbar/v3"
+	"golang.org/x/sync/errgroup"
 
 	"piernotch/internal/lab/groupmodel"
 	"piernotch/internal/lab/grouprig"
@@ -21,6 +22,7 @@
 type groupCmd struct {
 	Model groupModelCmd `cmd:"" help:"Play schedules of faults on the control group in simulated time, thousands of seeds."`
 	Rig   groupRigCmd   `cmd:"" help:"Play the same schedules on real processes with relays between them."`
+	Times groupTimesCmd `cmd:"" help:"Measure how long a duty is in nobody's hand when its holder ends, planned and unplanned."`
 }
 
 // groupSize is what a schedule is played on.
@@ -185,7 +187,8 @@
 	Logs    string `placeholder:"DIR" help:"Keep configurations, disks and logs there."`
 }
 
-func (c *groupRigCmd) Run(ctx context.Context, o *output) error {
+// each plays seeds side by side, each with a directory of its own.
+func (c *groupRigCmd) each(ctx context.Context, o *output, play func(grouprig.Options) error) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -200,41 +203,42 @@
 		}
 		defer os.RemoveAll(dir)
 	}
-	var (
-		mu      sync.Mutex
-		all     []grouprig.Result
-		seeds   = make(chan uint64)
-		over    sync.WaitGroup
-		failure error
-	)
 	bar := progressbar.NewOptions(c.Runs, progressbar.OptionSetWriter(o.err), progressbar.OptionClearOnFinish())
-	for range c.Beside {
-		over.Go(func() {
-			for seed := range seeds {
-				own := filepath.Join(dir, fmt.Sprint(seed))
-				err := os.MkdirAll(own, 0o700)
-				var r grouprig.Result
-				if err == nil {
-					r, err = grouprig.Run(ctx, grouprig.Options{Voter: c.Program, Holder: self, Seed: seed, Size: c.size(), Dir: own})
-				}
-				mu.Lock()
-				if err != nil {
-					failure = fmt.Errorf("seed %d: %w", seed, err)
-				} else {
-					all = append(all, r)
-				}
-				mu.Unlock()
-				_ = bar.Add(1)
+	all, ctx := errgroup.WithContext(ctx)
+	all.SetLimit(c.Beside)
+	for i := range c.Runs {
+		all.Go(func() error {
+			defer func() { _ = bar.Add(1) }()
+			if ctx.Err() != nil {
+				return ctx.Err()
 			}
+			seed := c.Seed + uint64(i)
+			own := filepath.Join(dir, fmt.Sprint(seed))
+			if err := os.MkdirAll(own, 0o700); err != nil {
+				return err
+			}
+			if err := play(grouprig.Options{Voter: c.Program, Holder: self, Seed: seed, Size: c.size(), Dir: own}); err != nil {
+				return fmt.Errorf("seed %d: %w", seed, err)
+			}
+			return nil
 		})
 	}
-	for i := 0; i < c.Runs && ctx.Err() == nil; i++ {
-		seeds <- c.Seed + uint64(i)
-	}
-	close(seeds)
-	over.Wait()
-	if failure != nil {
-		return failure
+	return all.Wait()
+}
+
+func (c *groupRigCmd) Run(ctx context.Context, o *output) error {
+	var (
+		mu  sync.Mutex
+		all []grouprig.Result
+	)
+	if err := c.each(ctx, o, func(opts grouprig.Options) error {
+		r, err := grouprig.Run(ctx, opts)
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, r)
+		return err
+	}); err != nil {
+		return err
 	}
 	slices.SortFunc(all, func(a, b grouprig.Result) int { return int(int64(a.Seed) - int64(b.Seed)) })
 	acts, fenced, grants := 0, 0, 0
@@ -255,6 +259,41 @@
 	return c.end(o, "rig", all, broken)
 }
 
+type groupTimesCmd struct {
+	groupRigCmd
+	Times int `default:"10" help:"Ends of either kind in each group; --runs groups are measured."`
+}
+
+func (c *groupTimesCmd) Run(ctx context.Context, o *output) error {
+	var (
+		mu  sync.Mutex
+		all grouprig.Times
+	)
+	err := c.each(ctx, o, func(opts grouprig.Options) error {
+		t, err := grouprig.Measure(ctx, opts, c.Times)
+		mu.Lock()
+		defer mu.Unlock()
+		all.Planned, all.Unplanned = append(all.Planned, t.Planned...), append(all.Unplanned, t.Unplanned...)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	for _, k := range []struct {
+		name string
+		s    []float64
+	}{{"planned", all.Planned}, {"unplanned", all.Unplanned}} {
+		if n := len(k.s); n > 0 {
+			slices.Sort(k.s)
+			fmt.Fprintf(o.out, "%-9s %d times: median %.3f s, p99 %.3f s, most %.3f s\n", k.name, n, k.s[n/2], k.s[n*99/100], k.s[n-1])
+		}
+	}
+	if c.JSON != "" {
+		return write(c.JSON, all)
+	}
+	return nil
+}
+
 // holdCmd is a process of the rig.
 type holdCmd struct {
 	File string `arg:"" help:"The group's file."`
--- a/cmd/piernotch/group.go
+++ b/cmd/piernotch/group.go
@@ -10,6 +10,7 @@
 
 	"piernotch/internal/group"
 	"piernotch/internal/group/member"
+	"piernotch/internal/serve/node"
 )
 
 // leaveFor is how long a planned end waits for the group to hear of it.
@@ -17,7 +18,7 @@
 
 // join takes part in the group that a file tells of, and returns what leaves it, which may be called
 // more than once. Without a file there is no group, and nothing is opened.
-func join(file string) (leave func(), err error) {
+func join(file string, n *node.Node) (leave func(), err error) {
 	if file == "" {
 		return func() {}, nil
 	}
@@ -25,7 +26,9 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.Disk = ""
 	m := member.Start(cfg, nil)
+	n.Share(m.Lists)
 	return sync.OnceFunc(func() { m.Close(leaveFor) }), nil
 }
 
--- a/cmd/piernotch/main.go
+++ b/cmd/piernotch/main.go
@@ -112,14 +112,14 @@
 		return err
 	}
 	n.LimitMemory = debug.SetMemoryLimit
-	if err := n.Start(); err != nil {
-		return err
-	}
-	leave, err := join(c.Group)
+	leave, err := join(c.Group, n)
 	if err != nil {
 		return err
 	}
 	defer leave()
+	if err := n.Start(); err != nil {
+		return err
+	}
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
--- a/internal/group/agree/machine.go
+++ b/internal/group/agree/machine.go
@@ -47,12 +47,18 @@
 	Raft     *raftpb.Message
 }
 
+// Start is one start of a voter.
+type Start struct {
+	N   uint64 `cbor:"1,keyasint"` // so many there have been
+	Run uint64 `cbor:"2,keyasint"` // and this was drawn at it
+}
+
 // Log is what a store holds of a voter.
 type Log struct {
 	Hard     *raftpb.HardState
 	Snapshot *raftpb.Snapshot
 	Entries  []*raftpb.Entry
-	Starts   map[uint64]uint64 // of other voters, as they said themselves
+	Starts   map[uint64]Start // the last of other voters, as they said themselves
 }
 
 // Born is what every store of a new group begins with.
@@ -87,9 +93,9 @@
 type Work struct {
 	Hard     *raftpb.HardState
 	Entries  []*raftpb.Entry
-	Snapshot *raftpb.Snapshot  // another member's; it replaces all that is held
-	Image    *raftpb.Snapshot  // this one's; it replaces the entries up to its index
-	Starts   map[uint64]uint64 // what other voters said; nil: as before
+	Snapshot *raftpb.Snapshot // another member's; it replaces all that is held
+	Image    *raftpb.Snapshot // this one's; it replaces the entries up to its index
+	Starts   map[uint64]Start // what other voters said; nil: as before
 	Messages []Message
 	ready    raft.Ready
 	raft     bool
@@ -147,7 +153,7 @@
 	welcome map[uint64]bool // who found the disk new enough
 	in      bool            // enough of them have
 	old     bool            // one has not
-	starts  map[uint64]uint64
+	starts  map[uint64]Start
 	fresh   bool // starts have to be written
 	seen    map[uint64]sighting
 	out     []Message
@@ -163,7 +169,7 @@
 		welcome: map[uint64]bool{}, starts: maps.Clone(cfg.Log.Starts), seen: map[uint64]sighting{},
 	}
 	if m.starts == nil {
-		m.starts = map[uint64]uint64{}
+		m.starts = map[uint64]Start{}
 	}
 	l := cfg.Log
 	if l.Snapshot != nil {
@@ -186,8 +192,8 @@
 	m.node, err = raft.NewRawNode(&raft.Config{
 		ID: cfg.ID, ElectionTick: electionTicks, HeartbeatTick: 1, Storage: m.mem, Applied: m.applied, Logger: quiet,
 		MaxSizePerMsg: 64 << 10, MaxInflightMsgs: 64, PreVote: true, CheckQuorum: true, ReadOnlyOption: raft.ReadOnlySafe,
-		// A proposal that reaches the next leader late may end what that one has renewed.
-		DisableProposalForwarding: !plant.Is("proposals-forwarded"),
+		// A proposal that reached the next leader late could end what that one has renewed.
+		DisableProposalForwarding: true,
 	})
 	return m, err
 }
@@ -256,7 +262,7 @@
 			}
 		}
 		// A voter that is being added has an empty log: who leads will fill it.
-		m.in = n > len(m.conf.GetVoters())/2 || plant.Is("no-hello")
+		m.in = n > len(m.conf.GetVoters())/2 || plant.Is("disk-unchecked")
 	}
 	return m.in
 }
@@ -267,7 +273,7 @@
 	}
 	hs, _, _ := m.mem.InitialState()
 	last, _ := m.mem.LastIndex()
-	h := &message.Hello{Starts: m.cfg.Starts, Term: hs.GetTerm(), Vote: hs.GetVote(), Last: last}
+	h := &message.Hello{Starts: m.cfg.Starts, Run: m.cfg.Run, Term: hs.GetTerm(), Vote: hs.GetVote(), Last: last}
 	for _, id := range m.conf.GetVoters() {
 		if id != m.cfg.ID && !m.welcome[id] {
 			m.out = append(m.out, Message{From: m.cfg.ID, To: id, Hello: h})
@@ -277,12 +283,11 @@
 
 // greeted judges another voter's hello by what was heard of it before.
 func (m *Machine) greeted(from uint64, h *message.Hello) {
-	s := m.seen[from]
-	ok := h.Starts >= m.starts[from] && h.Term >= s.term &&
+	s, last, now := m.seen[from], m.starts[from], Start{h.Starts, h.Run}
+	ok := (now.N > last.N || now == last) && h.Term >= s.term &&
 		(h.Term > s.term || h.Last >= s.last && (h.Vote != 0 || !s.voted))
-	if ok && h.Starts > m.starts[from] {
-		m.starts[from] = h.Starts
-		m.fresh = true
+	if ok && now != last {
+		m.starts[from], m.fresh = now, true
 	}
 	m.out = append(m.out, Message{From: m.cfg.ID, To: from, Welcome: &ok})
 }
@@ -311,7 +316,7 @@
 	r := msg.Raft
 	m.sight(msg.From, r)
 	// The engine gives up the process over a leader that knows more of this log than there is of it.
-	if last, _ := m.mem.LastIndex(); r.GetType() == raftpb.MsgHeartbeat && r.GetCommit() > last && r.GetTerm() >= m.status().GetTerm() {
+	if last, _ := m.mem.LastIndex(); !plant.Is("disk-unchecked") && r.GetType() == raftpb.MsgHeartbeat && r.GetCommit() > last && r.GetTerm() >= m.status().GetTerm() {
 		m.old = true
 		return ErrOldCopy
 	}
@@ -357,6 +362,12 @@
 	case len(m.changes)+len(m.reads) >= mostWaiting:
 		m.answer(q, lease.Grant{}, message.ErrBusy)
 	case q.Kind == message.Change && !m.heldByOther(q.Command):
+		if plant.Is("answered-too-early") {
+			var t lease.Table
+			t.Restore(m.table.Image())
+			g, err := t.Apply(q.Command)
+			m.answer(q, g, err)
+		}
 		m.propose(q.Command, m.wait(q))
 	case q.Kind == message.Admit:
 		m.admit(q)
@@ -376,11 +387,8 @@
 	return c.Op == lease.Acquire && held && g.Holder != c.Who
 }
 
-// Holder returns the name of who holds a duty, "" for nobody.
-func (m *Machine) Holder(d lease.Duty) string {
-	g, _ := m.table.Held(d)
-	return g.Holder.Name
-}
+// Held returns who holds a duty, as far as this voter has applied what was agreed on.
+func (m *Machine) Held(d lease.Duty) (lease.Grant, bool) { return m.table.Held(d) }
 
 // Freed returns the duties that have come free, or into another hand, since the last call.
 func (m *Machine) Freed() []lease.Duty {
--- a/internal/group/file.go
+++ b/internal/group/file.go
@@ -16,6 +16,8 @@
 	LengthMS int      `toml:"length_ms"`
 	Drift    float64  `toml:"drift"`
 	Duties   []string `toml:"duties"`
+	Watch    string   `toml:"watch"`
+	Source   string   `toml:"source"`
 	Voters   []struct {
 		Name    string `toml:"name"`
 		Address string `toml:"address"`
@@ -33,7 +35,7 @@
 	problems := tomlfile.Decode(name, data, f)
 	c := Config{
 		Name: f.Name, Self: f.Self, Disk: f.Disk, Length: time.Duration(f.LengthMS) * time.Millisecond,
-		Drift: f.Drift, Duties: f.Duties,
+		Drift: f.Drift, Duties: f.Duties, Watch: f.Watch, Source: f.Source,
 	}
 	for _, v := range f.Voters {
 		c.Voters = append(c.Voters, Voter{v.Name, v.Address})
@@ -59,7 +61,7 @@
 		}
 		s += fmt.Sprintf("%q", d)
 	}
-	s += "]\n"
+	s += fmt.Sprintf("]\nwatch = %q\nsource = %q\n", c.Watch, c.Source)
 	for _, v := range c.Voters {
 		s += fmt.Sprintf("\n[[voter]]\nname = %q\naddress = %q\n", v.Name, v.Address)
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -19,6 +19,56 @@
 	Drift  float64       // how far any clock's rate may be off, as a share
 	Voters []Voter       // three or five, the same everywhere
 	Duties []string      // those that this balancer takes if nobody has them
+	Watch  string        // the duty of asking discovery for all balancers that name it; "": each asks
+	Source string        // discovery's name, where balancers reach the same one at different addresses
+}
+
+// Lists is what a balancer's watch of discovery goes by where one balancer asks for many. Its methods
+// do not block and may be called from any goroutine.
+type Lists interface {
+	// Asks tells whether this balancer asks discovery now, and whether for the whole list.
+	Asks() (ask, whole bool)
+	// Told passes on what this balancer's own call brought.
+	Told(Post)
+	// Failed says that this balancer's own call failed.
+	Failed()
+	// Behind says which version is known here, and that a later one is looked for.
+	Behind(source string, version uint64)
+}
+
+// Join begins a balancer's part in a watch: source is where it asks, and take gets the lists of others.
+// It returns nil if there is no such duty.
+type Join func(source string, take Take) Lists
+
+// Take is called with a list that another balancer was told, as Told was. It must not block.
+type Take func(Post)
+
+// Post is a list, or what has changed of one, as discovery wrote it.
+type Post struct {
+	Source string `cbor:"1,keyasint"`           // discovery's address: versions mean nothing at another
+	From   uint64 `cbor:"2,keyasint,omitempty"` // the version that it changes; of a whole list 0
+	To     uint64 `cbor:"3,keyasint"`           // the version that it leads to; From again: the watch stands
+	Whole  bool   `cbor:"4,keyasint,omitempty"`
+	Body   []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// Beat tells whether a post only says that the holder's watch stands.
+func (p *Post) Beat() bool { return !p.Whole && p.From == p.To }
+
+// Fits tells whether a post leads on from a version of a source: take it, look for what lies between
+// (missing), or neither, because it is older than what is known.
+func (p *Post) Fits(source string, version uint64) (take, missing bool) {
+	switch {
+	case p.Source != source || p.Beat() && p.To <= version:
+		return false, false
+	case p.Whole:
+		return p.To >= version, false
+	case p.Beat():
+		return false, true
+	case p.To <= version:
+		return false, false
+	}
+	return p.From == version, p.From != version
 }
 
 // Voter is a member that votes, and where it listens for the group.
@@ -82,6 +132,12 @@
 	if c.Drift < 0 || c.Drift > MostDrift {
 		add("drift", "%v, a share from 0 to %v is expected", c.Drift, MostDrift)
 	}
+	if c.Watch != "" && !named(c.Watch) {
+		add("watch", "%q is no name", c.Watch)
+	}
+	if c.Source != "" && (!named(c.Source) || c.Watch == "") {
+		add("source", "%q: a name is expected, and none without a watch", c.Source)
+	}
 	if len(c.Duties) > MostDuties {
 		add("duties", "%d, at most %d are expected", len(c.Duties), MostDuties)
 	}
--- /dev/null
+++ b/internal/group/member/lists.go
@@ -0,0 +1,189 @@
+package member
+
+import (
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"piernotch/internal/group"
+	"piernotch/internal/group/lease"
+	"piernotch/internal/group/message"
+	"piernotch/internal/group/watch"
+)
+
+// lists is the duty of asking discovery for all: who holds it publishes what it is told, the others
+// take that and ask themselves only where nothing comes. All of it is under the member's lock.
+type lists struct {
+	m        *Member
+	duty     lease.Duty
+	take     group.Take
+	address  string     // where this balancer reaches what the group calls cfg.Source
+	own      watch.Feed // what this balancer's own calls brought
+	follower *watch.Follower
+	holder   *watch.Holder
+	token    uint64 // under which own was published last
+	sent     uint64 // up to this version
+	source   string // what is known here
+	version  uint64
+	alone    bool          // as last told in the log
+	rests    time.Duration // does not want the duty until then: its own watch failed
+	behind   time.Duration // when it last asked for what it lacks
+}
+
+func newLists(m *Member, d lease.Duty) *lists {
+	now := m.now()
+	return &lists{
+		m: m, duty: d, take: func(group.Post) {}, holder: watch.NewHolder(watch.Default, now),
+		follower: watch.NewFollower(watch.Default, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now),
+	}
+}
+
+// Lists is the member's side of the balancer's watch; it is a group.Join. take is called from the
+// member's goroutines.
+func (m *Member) Lists(source string, take group.Take) group.Lists {
+	if m.lists == nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lists.take, m.lists.address = take, source
+	return seam{m.lists}
+}
+
+// seam is lists as the balancer sees it.
+type seam struct{ l *lists }
+
+func (s seam) Asks() (ask, whole bool) {
+	l := s.l
+	l.m.mu.Lock()
+	defer l.m.mu.Unlock()
+	now := l.m.now()
+	_, holds := l.m.holders[l.duty].May(now)
+	ask = l.follower.Asks(now, holds)
+	if alone := l.follower.Alone() && !holds; alone != l.alone {
+		l.alone = alone
+		slog.Info("group: discovery is asked", "by_itself", alone, "duty", l.duty)
+	}
+	_, _, any := l.own.Last()
+	return ask, holds && !any
+}
+
+// common is the name that all balancers have for a discovery that this one reaches at an address.
+func (l *lists) common(address string) string {
+	if l.m.cfg.Source != "" && address == l.address {
+		return l.m.cfg.Source
+	}
+	return address
+}
+
+func (s seam) Told(p group.Post) {
+	l := s.l
+	l.m.mu.Lock()
+	defer l.m.mu.Unlock()
+	p.Source = l.common(p.Source)
+	l.source, l.version = p.Source, p.To
+	l.holder.Heard(l.m.now())
+	if err := l.own.Take(0, p); errors.Is(err, watch.ErrMissing) {
+		l.own = watch.Feed{} // a whole list comes next, if it is to be published
+		return
+	}
+	l.publish()
+}
+
+func (s seam) Failed() {
+	s.l.m.mu.Lock()
+	defer s.l.m.mu.Unlock()
+	s.l.holder.Failed()
+}
+
+func (s seam) Behind(source string, version uint64) {
+	l := s.l
+	l.m.mu.Lock()
+	defer l.m.mu.Unlock()
+	l.source, l.version = l.common(source), version
+	if now := l.m.now(); now >= l.behind+watch.Default.Beat { // posts that come meanwhile say the same
+		l.behind = now
+		l.follow()
+	}
+}
+
+// follow has the group tell what leads on from what is known here.
+func (l *lists) follow() {
+	l.m.ask(message.Question{
+		Kind: message.Follow, Command: lease.Command{Duty: l.duty}, Post: &group.Post{Source: l.source, To: l.version},
+	}, func(message.Answer) {})
+}
+
+// connected begins again with another voter: it may know nothing.
+func (l *lists) connected() {
+	l.token = 0
+	l.follow()
+}
+
+// turn says that the watch stands, and gives the duty up where it does not.
+func (l *lists) turn(now time.Duration) {
+	h := l.m.holders[l.duty]
+	token, holds := h.May(now)
+	switch {
+	case !holds:
+		if l.rests > 0 && now >= l.rests {
+			l.rests = 0
+			l.m.holders[l.duty] = lease.NewHolder(l.m.terms, l.m.me, l.duty)
+		}
+	case token != l.token:
+		l.publish()
+	case !l.holder.Stands(now) && l.rests == 0:
+		slog.Warn("group: duty is given up, discovery does not answer here", "duty", l.duty)
+		l.rests = now + 2*l.m.terms.Length + rand.N(2*l.m.terms.Length)
+		h.Leave()
+	case l.holder.Due(now):
+		if source, version, any := l.own.Last(); any {
+			l.post(token, group.Post{Source: source, From: version, To: version})
+		}
+	}
+}
+
+// publish passes on what own calls brought. A new token begins with the whole list.
+func (l *lists) publish() {
+	now := l.m.now()
+	token, holds := l.m.holders[l.duty].May(now)
+	source, version, any := l.own.Last()
+	if !holds || !any || l.m.conn == nil {
+		return
+	}
+	posts := l.own.Since(source, l.sent)
+	if l.token != token {
+		posts = l.own.Since("", 0)
+	}
+	if l.token != token {
+		l.holder.Heard(now) // it has a chance to show that its watch stands
+	}
+	l.token, l.source, l.version = token, source, version
+	for _, p := range posts {
+		l.post(token, p)
+	}
+	l.sent = version
+}
+
+// post sends one. A voter that lacks what is before it has to hear all again.
+func (l *lists) post(token uint64, p group.Post) {
+	l.m.ask(message.Question{
+		Kind: message.Publish, Command: lease.Command{Duty: l.duty, Who: l.m.me, Token: token}, Post: &p,
+	}, func(a message.Answer) {
+		if errors.Is(a.Err, watch.ErrMissing) || errors.Is(a.Err, watch.ErrStale) {
+			l.token = 0
+		}
+	})
+}
+
+// heard takes what a holder has published.
+func (l *lists) heard(token uint64, p group.Post) {
+	if _, holds := l.m.holders[l.duty].May(l.m.now()); holds || !l.follower.Word(l.m.now(), token) {
+		return
+	}
+	if p.Source == l.common(l.address) {
+		p.Source = l.address
+	}
+	l.take(p)
+}
--- a/internal/group/member/member.go
+++ b/internal/group/member/member.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	turn   = 50 * time.Millisecond
+	each   = 50 * time.Millisecond
 	redial = 200 * time.Millisecond
 	silent = time.Second // a voter that owes an answer for so long is left for another
 )
@@ -44,7 +44,7 @@
 	key     uint64
 	conn    *peer.Conn
 	leader  string
-	closing bool
+	lists   *lists // nil: this balancer asks discovery itself
 }
 
 type question struct {
@@ -63,6 +63,10 @@
 	for _, d := range cfg.Duties {
 		m.holders[lease.Duty(d)] = lease.NewHolder(m.terms, m.me, lease.Duty(d))
 	}
+	if cfg.Watch != "" {
+		m.lists = newLists(m, lease.Duty(cfg.Watch))
+		m.holders[m.lists.duty] = lease.NewHolder(m.terms, m.me, m.lists.duty)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	go func() {
@@ -90,7 +94,7 @@
 }
 
 func (m *Member) turns(ctx context.Context) {
-	ticker := time.NewTicker(turn)
+	ticker := time.NewTicker(each)
 	defer ticker.Stop()
 	for {
 		select {
@@ -99,20 +103,28 @@
 		case <-ticker.C:
 		}
 		m.mu.Lock()
-		now := m.now()
-		for d, h := range m.holders {
-			m.tell(d, h, now)
-			// Who waits is told when the duty comes free; looking now and then is for when that is lost.
-			pause := m.terms.Length/2 + rand.N(m.terms.Length/2)
-			if a, is := h.Next(now, pause); is {
-				m.hold(h, a)
-			}
-		}
-		m.silence()
+		m.turn()
 		m.mu.Unlock()
 	}
 }
 
+// turn does what is due; m.mu is held.
+func (m *Member) turn() {
+	now := m.now()
+	for d, h := range m.holders {
+		m.tell(d, h, now)
+		// Who waits is told when the duty comes free; looking now and then is for when that is lost.
+		pause := m.terms.Length/2 + rand.N(m.terms.Length/2)
+		if a, is := h.Next(now, pause); is {
+			m.hold(h, a)
+		}
+	}
+	if m.lists != nil {
+		m.lists.turn(now)
+	}
+	m.silence()
+}
+
 // tell logs when a duty comes or goes.
 func (m *Member) tell(d lease.Duty, h *lease.Holder, now time.Duration) {
 	token, _ := h.May(now)
@@ -153,7 +165,7 @@
 	m.key++
 	q.Key = m.key
 	m.out[q.Key] = question{q, time.Now(), then}
-	m.conn.Send(peer.Frame{Ask: &peer.Ask{Key: q.Key, Kind: q.Kind, Command: q.Command, Voter: q.Voter}})
+	m.conn.Send(peer.Frame{Ask: &peer.Ask{Key: q.Key, Kind: q.Kind, Command: q.Command, Voter: q.Voter, Post: q.Post}})
 }
 
 // silence leaves a voter that does not answer.
@@ -186,6 +198,9 @@
 			ended := context.AfterFunc(ctx, c.Close)
 			m.mu.Lock()
 			m.conn = c
+			if m.lists != nil {
+				m.lists.connected()
+			}
 			m.mu.Unlock()
 			m.read(c)
 			ended()
@@ -219,6 +234,10 @@
 		m.mu.Lock()
 		if h := m.holders[t.Free]; t.Key == 0 && h != nil {
 			h.Nudge()
+			m.turn()
+		}
+		if t.Post != nil && m.lists != nil && t.Duty == m.lists.duty {
+			m.lists.heard(t.Token, *t.Post)
 		}
 		q, is := m.out[t.Key]
 		delete(m.out, t.Key)
@@ -267,9 +286,10 @@
 	for _, h := range m.holders {
 		h.Leave()
 	}
+	m.turn()
 	m.mu.Unlock()
 	for end := time.Now().Add(patience); time.Now().Before(end) && m.holds(); {
-		time.Sleep(turn / 5)
+		time.Sleep(each / 5)
 	}
 	m.stop()
 	<-m.done
--- a/internal/group/message/message.go
+++ b/internal/group/message/message.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 
+	"piernotch/internal/group"
 	"piernotch/internal/group/lease"
 )
 
@@ -29,11 +30,13 @@
 
 // Kinds of questions.
 const (
-	Change Kind = iota + 1 // a command
-	Renew                  // prolong what Command.Who holds of Command.Duty under Command.Token
-	Read                   // who holds Command.Duty
-	Admit                  // take Voter in, in place of one of its name that is not heard of
-	List                   // all that is held, and who votes
+	Change  Kind = iota + 1 // a command
+	Renew                   // prolong what Command.Who holds of Command.Duty under Command.Token
+	Read                    // who holds Command.Duty
+	Admit                   // take Voter in, in place of one of its name that is not heard of
+	List                    // all that is held, and who votes
+	Publish                 // pass Post on under what Command.Who holds of Command.Duty under Command.Token
+	Follow                  // tell what is published under Command.Duty, from Post's version on
 )
 
 // Question is asked of the leader. Key is the asker's, and comes with the answer.
@@ -42,6 +45,7 @@
 	Kind    Kind
 	Command lease.Command
 	Voter   Voter
+	Post    *group.Post
 }
 
 // Answer is the group's.
@@ -62,6 +66,7 @@
 // or have forgotten what it promised to keep.
 type Hello struct {
 	Starts uint64 // how often its store was opened, this time included
+	Run    uint64 // drawn at this start: a copy that was taken before it counts as far
 	Term   uint64
 	Vote   uint64
 	Last   uint64
--- a/internal/group/peer/peer.go
+++ b/internal/group/peer/peer.go
@@ -16,8 +16,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"piernotch/internal/group"
 	"piernotch/internal/group/lease"
 	"piernotch/internal/group/message"
+	"piernotch/internal/group/watch"
 )
 
 // Version is the form of the frames. Members of another version are refused.
@@ -56,13 +58,14 @@
 	Kind    message.Kind  `cbor:"2,keyasint"`
 	Command lease.Command `cbor:"3,keyasint"`
 	Voter   message.Voter `cbor:"4,keyasint,omitempty"`
+	Post    *group.Post   `cbor:"5,keyasint,omitempty"`
 }
 
 // Code is an error as it travels.
 type Code uint8
 
 // codes are the errors that have a code, by it.
-var codes = []error{nil, lease.ErrHeld, lease.ErrNotHeld, message.ErrNotLeading, message.ErrUnknown, message.ErrBusy, message.ErrNameInUse}
+var codes = []error{nil, lease.ErrHeld, lease.ErrNotHeld, message.ErrNotLeading, message.ErrUnknown, message.ErrBusy, message.ErrNameInUse, watch.ErrMissing, watch.ErrStale, watch.ErrLarge}
 
 // CodeOf returns an error's code.
 func CodeOf(err error) Code {
@@ -90,6 +93,9 @@
 	Image  message.Image `cbor:"4,keyasint,omitempty"`
 	Leader string        `cbor:"5,keyasint,omitempty"` // the name of who leads, if known
 	Free   lease.Duty    `cbor:"6,keyasint,omitempty"` // without a Key: this duty may have come free
+	Duty   lease.Duty    `cbor:"7,keyasint,omitempty"` // without a Key: of Post
+	Token  uint64        `cbor:"8,keyasint,omitempty"` // under which Post was published
+	Post   *group.Post   `cbor:"9,keyasint,omitempty"`
 }
 
 // Frame is one of its parts.
--- a/internal/group/voter/voter.go
+++ b/internal/group/voter/voter.go
@@ -22,6 +22,7 @@
 	"piernotch/internal/group/lease"
 	"piernotch/internal/group/message"
 	"piernotch/internal/group/peer"
+	"piernotch/internal/group/watch"
 )
 
 const (
@@ -57,9 +58,16 @@
 	hails map[string]peer.Hail        // the last of each other voter
 	told  string                      // who was last told to lead
 	queue map[lease.Duty][]*peer.Conn // who was refused a duty, and is told when it comes free
+	feeds map[lease.Duty]*feed        // what holders publish, while this voter leads
 	admit time.Duration
 }
 
+// feed is what is published under a duty, and who is told.
+type feed struct {
+	watch.Feed
+	to []*peer.Conn
+}
+
 // link is the connection to another voter.
 type link struct {
 	to   group.Voter
@@ -75,7 +83,7 @@
 	}
 	v := &Voter{
 		cfg: cfg, begun: time.Now(), events: make(chan func(), mostWait), out: map[string]*link{},
-		asks: map[uint64]func(message.Answer){}, hails: map[string]peer.Hail{}, queue: map[lease.Duty][]*peer.Conn{},
+		asks: map[uint64]func(message.Answer){}, hails: map[string]peer.Hail{}, queue: map[lease.Duty][]*peer.Conn{}, feeds: map[lease.Duty]*feed{},
 	}
 	if err := v.open(); err != nil {
 		return nil, err
@@ -185,6 +193,9 @@
 		return
 	}
 	v.join()
+	if !v.machine.Leading() { // whoever leads next hears it all again
+		clear(v.feeds)
+	}
 	leader, _ := v.machine.Leader()
 	if leader.Name != v.told {
 		v.told = leader.Name
@@ -316,9 +327,9 @@
 	all := v.queue[d]
 	delete(v.queue, d)
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	holder := v.machine.Holder(d)
+	g, _ := v.machine.Held(d)
 	for i, c := range all {
-		if i < atOnce || c.Them.Name == holder {
+		if i < atOnce || c.Them.Name == g.Holder.Name {
 			c.Send(peer.Frame{Tell: &peer.Tell{Free: d}})
 		} else {
 			v.queue[d] = append(v.queue[d], c)
@@ -400,13 +411,7 @@
 				return
 			}
 			v.read(c)
-			v.post(func() {
-				for d, q := range v.queue {
-					if v.queue[d] = slices.DeleteFunc(q, func(o *peer.Conn) bool { return o == c }); len(v.queue[d]) == 0 {
-						delete(v.queue, d)
-					}
-				}
-			})
+			v.post(func() { v.forget(c) })
 		})
 	}
 }
@@ -470,6 +475,10 @@
 		tell(message.Answer{Err: message.ErrNotLeading})
 		return
 	}
+	if a.Kind == message.Publish || a.Kind == message.Follow {
+		tell(message.Answer{Err: v.feed(c, a)})
+		return
+	}
 	v.asked++
 	v.asks[v.asked] = tell
 	v.machine.Ask(v.now(), message.Question{Key: v.asked, Kind: a.Kind, Command: a.Command, Voter: a.Voter})
@@ -478,6 +487,59 @@
 // Ended is closed once the voter has ended, by itself or by Close.
 func (v *Voter) Ended() <-chan struct{} { return v.ctx.Done() }
 
+// feed takes what a holder publishes, or has a member told of it. The table is the fence: only the
+// token that stands is taken. A voter that no longer leads and does not know yet may pass on what an
+// old holder says; followers check versions, and it ends when the engine finds no majority.
+func (v *Voter) feed(c *peer.Conn, a *peer.Ask) error {
+	duty := a.Command.Duty
+	g, held := v.machine.Held(duty)
+	switch {
+	case !v.machine.Leading():
+		return message.ErrNotLeading
+	case a.Post == nil, a.Kind == message.Publish && (!held || g.Token != a.Command.Token || g.Holder != a.Command.Who):
+		return lease.ErrNotHeld
+	}
+	f := v.feeds[duty]
+	if f == nil {
+		if len(v.feeds) >= group.MostDuties {
+			return message.ErrBusy
+		}
+		f = &feed{}
+		v.feeds[duty] = f
+	}
+	if a.Kind == message.Follow {
+		if !slices.Contains(f.to, c) {
+			f.to = append(f.to, c)
+		}
+		for _, p := range f.Since(a.Post.Source, a.Post.To) {
+			c.Send(peer.Frame{Tell: &peer.Tell{Duty: duty, Token: f.Token(), Post: &p}})
+		}
+		return nil
+	}
+	if err := f.Take(g.Token, *a.Post); err != nil {
+		return err
+	}
+	for _, o := range f.to {
+		if o != c {
+			o.Send(peer.Frame{Tell: &peer.Tell{Duty: duty, Token: g.Token, Post: a.Post}})
+		}
+	}
+	return nil
+}
+
+// forget drops a connection that has ended.
+func (v *Voter) forget(c *peer.Conn) {
+	is := func(o *peer.Conn) bool { return o == c }
+	for d, q := range v.queue {
+		if v.queue[d] = slices.DeleteFunc(q, is); len(v.queue[d]) == 0 {
+			delete(v.queue, d)
+		}
+	}
+	for _, f := range v.feeds {
+		f.to = slices.DeleteFunc(f.to, is)
+	}
+}
+
 // Close ends the voter. What it has promised is on its disk.
 func (v *Voter) Close() {
 	v.stop()
--- /dev/null
+++ b/internal/group/watch/watch.go
@@ -0,0 +1,164 @@
+// Package watch decides, for a group in which one balancer asks discovery for many, who asks now and
+// which lists are taken. It is pure: the clock is an argument, and a list is bytes that it never reads.
+//
+// A change is told to a balancer when its own call to discovery brought it, or when the holder's list
+// reached it. A balancer that hears nothing from a holder for Terms.Silent, and by chance for up to
+// Terms.Spread longer, asks discovery itself until it hears again: so without the group, or with a slow
+// or stopped holder, all are back at asking for themselves, and not at the same moment.
+package watch
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"piernotch/internal/group"
+)
+
+// Terms are the times that holder and followers go by.
+type Terms struct {
+	Beat   time.Duration // a holder whose watch stands says so this often
+	Silent time.Duration // a holder that says nothing for so long is not relied on
+	Spread time.Duration // a follower waits by chance up to so much longer
+	Stale  time.Duration // a holder whose own call brought nothing for so long does not say that its watch stands
+}
+
+// Default is what the group's members use. A change that the holder was told of and could not pass on
+// is asked for by the others within Silent and Spread, which stays under the six seconds after which
+// discovery's word counts as told.
+var Default = Terms{Beat: 500 * time.Millisecond, Silent: 2 * time.Second, Spread: 2 * time.Second, Stale: 7 * time.Second}
+
+// Bounds on what a feed keeps.
+const (
+	MostBody    = 512 << 10 // bytes of one post
+	mostChanges = 256       // posts behind a whole list
+)
+
+// Errors of a post.
+var (
+	ErrStale   = errors.New("a later holder has spoken")
+	ErrMissing = errors.New("a whole list is needed first")
+	ErrLarge   = errors.New("a list of over 512 KiB is not passed on")
+)
+
+// Feed is a whole list and what has changed since, under the token of who brought it. The zero value is
+// empty. Who leads the group keeps one for each duty; so does whoever asks discovery.
+type Feed struct {
+	token   uint64
+	source  string
+	version uint64
+	posts   []group.Post // a whole one first
+}
+
+// Take adds a post. A holder's whole list replaces what an earlier holder brought; a change has to
+// follow what is there.
+func (f *Feed) Take(token uint64, p group.Post) error {
+	switch {
+	case token < f.token:
+		return ErrStale
+	case len(p.Body) > MostBody:
+		return ErrLarge
+	case p.Whole:
+		if token == f.token && p.Source == f.source && p.To < f.version {
+			return ErrStale
+		}
+		f.token, f.source, f.version, f.posts = token, p.Source, p.To, append(f.posts[:0:0], p)
+		return nil
+	case len(f.posts) == 0 || p.Source != f.source || p.From != f.version || !p.Beat() && len(f.posts) > mostChanges:
+		return ErrMissing
+	}
+	f.token, f.version = token, p.To
+	if !p.Beat() {
+		f.posts = append(f.posts, p)
+	}
+	return nil
+}
+
+// Since returns what leads from a version to the last one; all of it where the version is not known here.
+func (f *Feed) Since(source string, version uint64) []group.Post {
+	if source == f.source {
+		for i, p := range f.posts {
+			if p.To == version {
+				return f.posts[i+1:]
+			}
+		}
+	}
+	return f.posts
+}
+
+// Token returns under which the last post was published.
+func (f *Feed) Token() uint64 { return f.token }
+
+// Last returns where a feed has come to, and whether it holds anything.
+func (f *Feed) Last() (source string, version uint64, any bool) {
+	return f.source, f.version, len(f.posts) > 0
+}
+
+// Follower is a balancer that may rely on another's watch.
+type Follower struct {
+	terms Terms
+	rng   *rand.Rand
+	token uint64
+	until time.Duration // the holder is relied on until then
+	alone bool
+}
+
+// NewFollower returns one that gives a holder its first chance from now on.
+func NewFollower(terms Terms, rng *rand.Rand, now time.Duration) *Follower {
+	f := &Follower{terms: terms, rng: rng}
+	f.wait(now)
+	return f
+}
+
+func (f *Follower) wait(now time.Duration) {
+	f.until = now + f.terms.Silent + time.Duration(f.rng.Int64N(int64(f.terms.Spread)))
+}
+
+// Word notes that something came from a holder. It is false for one that has been replaced: its lists
+// are not taken, and its word keeps nobody from asking.
+func (f *Follower) Word(now time.Duration, token uint64) bool {
+	if token < f.token {
+		return false
+	}
+	f.token = token
+	f.wait(now)
+	return true
+}
+
+// Asks tells whether this balancer asks discovery itself: it holds the duty, or relies on nobody.
+func (f *Follower) Asks(now time.Duration, holds bool) bool {
+	f.alone = now >= f.until
+	return holds || f.alone
+}
+
+// Alone tells whether nobody was relied on when Asks was last called.
+func (f *Follower) Alone() bool { return f.alone }
+
+// Holder is the side that asks for all: whether it may say that its watch stands.
+type Holder struct {
+	terms Terms
+	heard time.Duration // when its call last brought something
+	fails bool
+	beat  time.Duration // when it last said so
+}
+
+// NewHolder returns the state of a watch that stands as far as anybody knows.
+func NewHolder(terms Terms, now time.Duration) *Holder { return &Holder{terms: terms, heard: now} }
+
+// Heard notes that a call brought something, if only that nothing has changed.
+func (h *Holder) Heard(now time.Duration) { h.heard, h.fails = now, false }
+
+// Failed notes that a call failed.
+func (h *Holder) Failed() { h.fails = true }
+
+// Stands tells whether the watch can be relied on.
+func (h *Holder) Stands(now time.Duration) bool { return !h.fails && now < h.heard+h.terms.Stale }
+
+// Due tells whether it is time to say that the watch stands.
+func (h *Holder) Due(now time.Duration) bool {
+	if !h.Stands(now) || now < h.beat+h.terms.Beat {
+		return false
+	}
+	h.beat = now
+	return true
+}
--- /dev/null
+++ b/internal/group/watch/watch_test.go
@@ -0,0 +1,117 @@
+package watch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"piernotch/internal/group"
+)
+
+func TestAFeedLeadsEveryFollowerToTheLastVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var f Feed
+		version, token := uint64(0), uint64(1)
+		known := map[int]uint64{} // versions of followers
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			p := group.Post{Source: "d", From: version, To: version + 1}
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				p.Whole, p.From = true, 0
+			case 1:
+				p.From, p.To = version+3, version+4 // something between was lost
+			case 2:
+				token++ // another holds the duty, which begins with a whole list
+				p.Whole, p.From = true, 0
+			case 3:
+				require.ErrorIs(t, f.Take(token-1, group.Post{Source: "d", Whole: true, To: version + 9}), map[bool]error{true: ErrStale}[f.token == token])
+				if f.token < token {
+					version = version + 9
+				}
+				continue
+			}
+			if f.Take(token, p) == nil {
+				version = p.To
+			}
+			who := rapid.IntRange(0, 3).Draw(t, "follower")
+			for _, p := range f.Since("d", known[who]) {
+				take, missing := p.Fits("d", known[who])
+				require.False(t, missing)
+				if take {
+					require.Greater(t, p.To, known[who])
+					known[who] = p.To
+				}
+			}
+			if _, last, any := f.Last(); any {
+				require.GreaterOrEqual(t, known[who], last)
+			}
+		}
+	})
+}
+
+func TestWhatIsOlderIsNotTaken(t *testing.T) {
+	for _, c := range []struct {
+		p             group.Post
+		take, missing bool
+	}{
+		{group.Post{Source: "d", From: 5, To: 6}, true, false},
+		{group.Post{Source: "d", From: 6, To: 7}, false, true},
+		{group.Post{Source: "d", From: 4, To: 5}, false, false},
+		{group.Post{Source: "d", Whole: true, To: 4}, false, false},
+		{group.Post{Source: "d", Whole: true, To: 9}, true, false},
+		{group.Post{Source: "d", From: 9, To: 9}, false, true},
+		{group.Post{Source: "d", From: 5, To: 5}, false, false},
+		{group.Post{Source: "e", Whole: true, To: 9}, false, false},
+	} {
+		take, missing := c.p.Fits("d", 5)
+		require.Equal(t, c.take, take, c.p)
+		require.Equal(t, c.missing, missing, c.p)
+	}
+}
+
+// Many that lose their holder at once do not all ask discovery at once, and stop when there is one again.
+func TestFollowersFallBackSpreadOverTime(t *testing.T) {
+	const n = 300
+	var all []*Follower
+	for i := range n {
+		f := NewFollower(Default, rand.New(rand.NewPCG(uint64(i), 1)), 0)
+		require.True(t, f.Word(time.Second, 7))
+		all = append(all, f)
+	}
+	asking := func(at time.Duration) (k int) {
+		for _, f := range all {
+			if f.Asks(at, false) {
+				k++
+			}
+		}
+		return k
+	}
+	lost := time.Second
+	require.Zero(t, asking(lost+Default.Silent-1))
+	require.InDelta(t, n/2, asking(lost+Default.Silent+Default.Spread/2), n/8)
+	require.Equal(t, n, asking(lost+Default.Silent+Default.Spread))
+	require.Less(t, Default.Silent+Default.Spread, 6*time.Second)
+	for _, f := range all {
+		require.False(t, f.Word(20*time.Second, 6), "a holder that has been replaced")
+	}
+	require.Equal(t, n, asking(20*time.Second))
+	for _, f := range all {
+		require.True(t, f.Word(20*time.Second, 8))
+		require.True(t, f.Asks(20*time.Second, true), "who holds the duty asks")
+	}
+	require.Zero(t, asking(20*time.Second))
+}
+
+func TestAHolderWhoseWatchFailsSaysNothing(t *testing.T) {
+	h := NewHolder(Default, 0)
+	require.True(t, h.Due(time.Second))
+	require.False(t, h.Due(time.Second+1))
+	h.Failed()
+	require.False(t, h.Due(2*time.Second))
+	h.Heard(3 * time.Second)
+	require.True(t, h.Due(3*time.Second))
+	require.False(t, h.Due(3*time.Second+Default.Stale))
+}
--- a/internal/lab/emulator/roster.go
+++ b/internal/lab/emulator/roster.go
@@ -26,6 +26,7 @@
 
 	fleet   *Fleet
 	told    Told
+	calls   int
 	late    atomic.Int64 // a trouble's further lateness, ns
 	servers []*http.Server
 	addr    []string
@@ -251,7 +252,17 @@
 	return data
 }
 
+// Calls returns how many calls have come.
+func (r *Roster) Calls() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls
+}
+
 func (r *Roster) answer(w http.ResponseWriter, req *http.Request, balancer int) {
+	r.mu.Lock()
+	r.calls++
+	r.mu.Unlock()
 	index, ierr := strconv.ParseUint(req.URL.Query().Get("index"), 10, 64)
 	wait, _ := strconv.Atoi(req.URL.Query().Get("wait"))
 	deadline := time.NewTimer(time.Duration(min(max(wait, 0), 60000)) * time.Millisecond)
--- a/internal/lab/groupmodel/faults.go
+++ b/internal/lab/groupmodel/faults.go
@@ -120,8 +120,7 @@
 	"granted-while-lapsing", // so is one that is asked for again
 	"unconfirmed-renewals",  // a leader renews without asking whether it still leads
 	"stale-reads",           // a leader tells who holds a duty without asking that
-	"proposals-forwarded",   // the end of a grant that was renewed since comes late, through another member
+	"answered-too-early",    // a change is answered before a majority has it
 	"sent-before-written",   // a voter promises what is not on its disk
-	"votes-after-loss",      // a voter comes back under its number with an empty disk
-	"no-hello",              // a voter takes part with an older copy of its disk
+	"disk-unchecked",        // a voter votes under its number whatever became of its disk
 }
--- a/internal/lab/groupmodel/planted_test.go
+++ b/internal/lab/groupmodel/planted_test.go
@@ -3,6 +3,7 @@
 package groupmodel
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,9 +18,8 @@
 			begun := time.Now()
 			for seed := range uint64(4000) {
 				plant.Set(name)
-				r := Play(seed, Small)
-				if len(r.Broken) > 0 {
-					t.Logf("seed %d, %v: %s", seed, time.Since(begun).Round(time.Millisecond), r.Broken[0])
+				if found := broken(seed); found != "" {
+					t.Logf("seed %d, %v: %s", seed, time.Since(begun).Round(time.Millisecond), found)
 					return
 				}
 			}
@@ -27,3 +27,16 @@
 		})
 	}
 }
+
+// broken is what a seed breaks; a process that gives up over what it finds on its disk is one thing.
+func broken(seed uint64) (what string) {
+	defer func() {
+		if p := recover(); p != nil {
+			what = fmt.Sprint("a voter gave up: ", p)
+		}
+	}()
+	if r := Play(seed, Small); len(r.Broken) > 0 {
+		return r.Broken[0]
+	}
+	return ""
+}
--- a/internal/lab/groupmodel/world.go
+++ b/internal/lab/groupmodel/world.go
@@ -415,7 +415,7 @@
 		v.disk = v.copies[v.w.rng.IntN(len(v.copies))]
 		return
 	}
-	if plant.Is("votes-after-loss") {
+	if plant.Is("disk-unchecked") {
 		var voters []message.Voter
 		for i := range v.w.size.Voters {
 			voters = append(voters, message.Voter{ID: uint64(i + 1), Name: fmt.Sprintf("v%d", i)})
--- a/internal/lab/grouprig/rig.go
+++ b/internal/lab/grouprig/rig.go
@@ -67,6 +67,7 @@
 	opts   Options
 	net    *faultnet.Net
 	ctx    context.Context
+	stop   context.CancelFunc
 	begun  time.Time
 	rng    *rand.Rand
 	procs  []*process
@@ -105,33 +106,51 @@
 	return l.Addr().String(), nil
 }
 
-// Run plays one seed.
-func Run(ctx context.Context, opts Options) (Result, error) {
+// begin starts all processes and waits until every duty is held. What it returns has to be closed.
+func begin(ctx context.Context, opts Options) (*rig, error) {
 	r := &rig{
 		opts: opts, net: faultnet.New(opts.Seed), rng: rand.New(rand.NewPCG(opts.Seed, 0x916)), lost: map[string]uint64{},
 		acts: map[lease.Duty]map[uint64]*span{}, result: Result{Seed: opts.Seed},
 	}
-	defer r.net.Close()
-	var stop context.CancelFunc
-	r.ctx, stop = context.WithCancel(ctx)
-	defer stop()
+	r.ctx, r.stop = context.WithCancel(ctx)
 	var err error
 	if r.judge, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		return r.result, err
+		return r, err
 	}
-	defer r.judge.Close()
 	go r.hear()
 	if err := r.prepare(); err != nil {
-		return r.result, err
+		return r, err
 	}
-	defer r.end()
 	for _, p := range r.procs {
 		if err := r.start(p); err != nil {
-			return r.result, err
+			return r, err
+		}
+	}
+	return r, r.settled(20 * time.Second)
+}
+
+// close ends all that begin started.
+func (r *rig) close() {
+	r.stop()
+	if r.look != nil {
+		r.look.Close(0)
+	}
+	for _, p := range r.procs {
+		if done := r.kill(p, syscall.SIGKILL); done != nil {
+			<-done
 		}
 	}
-	defer r.look.Close(0)
-	if err := r.settled(20 * time.Second); err != nil {
+	if r.judge != nil {
+		_ = r.judge.Close()
+	}
+	r.net.Close()
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, opts Options) (Result, error) {
+	r, err := begin(ctx, opts)
+	defer r.close()
+	if err != nil {
 		return r.result, err
 	}
 	r.begun = time.Now()
@@ -280,14 +299,6 @@
 	return done
 }
 
-func (r *rig) end() {
-	for _, p := range r.procs {
-		if done := r.kill(p, syscall.SIGKILL); done != nil {
-			<-done
-		}
-	}
-}
-
 // settled waits until every duty is held.
 func (r *rig) settled(most time.Duration) error {
 	ctx, stop := context.WithTimeout(r.ctx, most)
--- a/internal/lab/rehearse/faults.go
+++ b/internal/lab/rehearse/faults.go
@@ -37,6 +37,10 @@
 
 // told passes on what the roster told a balancer, once it has arrived: a cut link holds it back.
 func (r *rig) told(balancer, server int, state piernotch.State, born time.Duration) {
+	if r.shared != nil {
+		r.shared.told(r, balancer, server, state, born)
+		return
+	}
 	if r.net == nil {
 		r.judge.Told(balancer, server, state, born)
 		return
--- a/internal/lab/rehearse/process.go
+++ b/internal/lab/rehearse/process.go
@@ -24,6 +24,7 @@
 	number  int
 	zone    int
 	program string
+	args    []string
 	env     []string
 	dir     string
 	address string
@@ -103,7 +104,7 @@
 		return nil, err
 	}
 	defer log.Close()
-	u := &run{cmd: exec.Command(p.program), done: make(chan struct{})}
+	u := &run{cmd: exec.Command(p.program, p.args...), done: make(chan struct{})}
 	if u.cmd.Env, u.management, err = p.environment(); err != nil {
 		return nil, err
 	}
--- a/internal/lab/rehearse/rehearse.go
+++ b/internal/lab/rehearse/rehearse.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +29,8 @@
 	Env      []string // of the balancers, on top of this program's own
 	// HandOvers are played, too: then each balancer's socket is held by the rig, and inherited.
 	HandOvers []HandOver
+	// Voter is the program of three voters, by which the balancers share one watch of discovery.
+	Voter string
 	// Faults are played between the processes; then every link of a balancer goes through a relay.
 	Faults []chaos.Step
 	Logs   string // directory for configurations and logs; none: one that is removed
@@ -49,6 +53,8 @@
 	CPUPerAnswer float64     `json:"cpu_us_per_request"`
 	Balancers    [][]Quarter `json:"balancers"`
 
+	ListCalls int `json:"list_calls"` // to the roster
+
 	Handed *Handed `json:"handed,omitempty"` // what came of the hand-overs
 
 	Rude map[string]load.RudeCount `json:"rude,omitempty"` // by what they sent
@@ -69,6 +75,7 @@
 	hand   *Handed
 	over   sync.WaitGroup // hand-overs and faults that go on
 	net    *faultnet.Net  // nil: nothing stands between the processes
+	shared *shared        // nil: each balancer asks discovery itself
 	ended  atomic.Bool
 	mu     sync.Mutex
 	err    error
@@ -114,7 +121,16 @@
 		return nil, err
 	}
 	defer r.fleet.Close()
-	if len(opts.Faults) > 0 {
+	if opts.Voter != "" {
+		if r.shared, err = share(opts, len(day.Balancers)); err != nil {
+			return nil, err
+		}
+		defer r.shared.end()
+	}
+	if slices.ContainsFunc(opts.Faults, func(s chaos.Step) bool { return s.Act == chaos.Link || s.Act == chaos.Flap }) {
+		if r.shared != nil {
+			return nil, errors.New("balancers that share a list reach servers at the same addresses: no faults of links can be played")
+		}
 		r.net = faultnet.New(day.Seed)
 		r.judge.cross = crossingLinks
 		r.fleet.Roster().Through = r.through
@@ -128,6 +144,9 @@
 			return nil, err
 		}
 		r.procs = append(r.procs, p)
+		if r.shared != nil {
+			p.args = []string{"serve", "--group", r.shared.files[i]}
+		}
 		if len(opts.HandOvers) > 0 {
 			if err := p.openDoor(); err != nil {
 				return nil, err
@@ -159,7 +178,7 @@
 	r.over.Wait()
 	close(stop)
 	report := r.report(clients, <-quarters)
-	report.Rude = r.rude.Counts()
+	report.Rude, report.ListCalls = r.rude.Counts(), r.fleet.Roster().Calls()
 	if len(opts.HandOvers) > 0 {
 		report.Handed, r.hand.Back = r.hand, r.judge.TurnedBack()
 	}
--- /dev/null
+++ b/internal/lab/rehearse/shared.go
@@ -0,0 +1,114 @@
+package rehearse
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"piernotch"
+	"piernotch/internal/group"
+	"piernotch/internal/group/watch"
+)
+
+// shared is one watch of discovery for all balancers, by a group of three voters.
+type shared struct {
+	files     []string // of the balancers
+	voters    []*exec.Cmd
+	balancers int
+
+	mu   sync.Mutex
+	last map[[2]int]int // how often a balancer was told of a server
+}
+
+// sharedLength is how long the duty stands without a renewal.
+const sharedLength = 2 * time.Second
+
+// sharedLate is by when what one balancer was told counts as told to all: by then each has heard it or
+// asks itself.
+var sharedLate = watch.Default.Silent + watch.Default.Spread + 500*time.Millisecond
+
+func share(opts Options, balancers int) (*shared, error) {
+	s := &shared{balancers: balancers, last: map[[2]int]int{}}
+	c := group.Config{Name: "rehearsal", Length: sharedLength, Drift: 0.01}
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		c.Voters = append(c.Voters, group.Voter{Name: fmt.Sprintf("v%d", i), Address: l.Addr().String()})
+		_ = l.Close()
+	}
+	write := func(c group.Config) (string, error) {
+		name := filepath.Join(opts.Logs, c.Self+"-group.toml")
+		return name, os.WriteFile(name, []byte(c.Text()), 0o600)
+	}
+	for _, v := range c.Voters {
+		own := c
+		own.Self, own.Disk = v.Name, filepath.Join(opts.Logs, v.Name+".voter")
+		_ = os.Remove(own.Disk) // of an earlier rehearsal
+		file, err := write(own)
+		if err != nil {
+			return nil, err
+		}
+		log, err := os.Create(filepath.Join(opts.Logs, v.Name+".log"))
+		if err != nil {
+			return nil, err
+		}
+		cmd := exec.Command(opts.Voter, "--group", file)
+		cmd.Stdout, cmd.Stderr = log, log
+		err = cmd.Start()
+		_ = log.Close()
+		if err != nil {
+			s.end()
+			return nil, err
+		}
+		s.voters = append(s.voters, cmd)
+	}
+	for i := range balancers {
+		own := c
+		own.Self, own.Watch, own.Source = fmt.Sprintf("n%d", i), "watch", "roster"
+		file, err := write(own)
+		if err != nil {
+			s.end()
+			return nil, err
+		}
+		s.files = append(s.files, file)
+	}
+	return s, nil
+}
+
+func (s *shared) end() {
+	for _, v := range s.voters {
+		_ = v.Process.Signal(syscall.SIGKILL)
+		_ = v.Wait()
+	}
+}
+
+// told has the judge hear what a balancer was told, for all that share its watch.
+func (s *shared) told(r *rig, balancer, server int, state piernotch.State, born time.Duration) {
+	tell := func(b int) {
+		s.last[[2]int{b, server}]++
+		r.judge.Told(b, server, state, born)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tell(balancer)
+	for b := range s.balancers {
+		if b == balancer {
+			continue
+		}
+		before := s.last[[2]int{b, server}]
+		time.AfterFunc(sharedLate, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.last[[2]int{b, server}] == before && !r.ended.Load() { // it has not heard of a later state itself
+				tell(b)
+			}
+		})
+	}
+}
--- a/internal/serve/discovery/discovery.go
+++ b/internal/serve/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"piernotch"
+	"piernotch/internal/group"
 	"piernotch/internal/http1"
 	"piernotch/internal/serve/core"
 	"piernotch/internal/serve/sock"
@@ -29,6 +30,8 @@
 	// at once, though nothing has changed, must not be asked without end. It
 	// stays well under the 200 ms in which a watch counts as going on.
 	pause = 100 * time.Millisecond
+	// lookAgain is how often a balancer that another one asks for looks whether that still holds.
+	lookAgain = 50 * time.Millisecond
 )
 
 type listJSON struct {
@@ -105,6 +108,7 @@
 	asked   time.Duration // when the last call was made
 	askAt   time.Duration // when the next is due; 0: none is
 	until   time.Duration
+	lists   group.Lists // nil: this balancer asks for itself alone
 }
 
 type conn struct {
@@ -125,6 +129,34 @@
 // versions mean nothing here.
 func (w *Watcher) Resume(version uint64, same bool) { w.version, w.whole = version, !same }
 
+// Share has the watch go by a group in which one balancer may ask for many; nil: it does not.
+func (w *Watcher) Share(lists group.Lists) { w.lists = lists }
+
+// Take takes a list that another balancer was told. What is older than what is known is not taken, and
+// what does not follow it is looked for.
+func (w *Watcher) Take(p group.Post) {
+	take, missing := p.Fits(w.address, w.version)
+	if w.whole && p.Source == w.address { // what is known is of another discovery
+		take, missing = p.Whole, !p.Whole
+	}
+	if missing {
+		known := w.version
+		if w.whole {
+			known = 0
+		}
+		w.lists.Behind(w.address, known)
+	}
+	if !take {
+		return
+	}
+	list, err := Parse(p.Body, w.zones)
+	if err != nil {
+		slog.Warn("list of another balancer not taken", "generation", p.To, "err", err)
+		return
+	}
+	w.told(list)
+}
+
 // Watch begins the watch, unless one stands.
 func (w *Watcher) Watch() {
 	if w.asking {
@@ -153,6 +185,15 @@
 
 // begin makes a call, on the connection that stands or on a new one.
 func (w *Watcher) begin() {
+	if w.lists != nil {
+		ask, whole := w.lists.Asks()
+		if !ask { // the call is made once nobody asks for this balancer any more
+			w.askAt = w.now() + lookAgain
+			w.until = w.askAt + wait + grace
+			return
+		}
+		w.whole = w.whole || whole
+	}
 	w.askAt, w.asked = 0, w.now()
 	if w.conn != nil {
 		w.ask()
@@ -193,6 +234,9 @@
 func (w *Watcher) fail(err error) {
 	slog.Warn("discovery failed", "address", w.address, "generation", w.version, "err", err)
 	w.asking, w.askAt = false, 0
+	if w.lists != nil {
+		w.lists.Failed()
+	}
 	if w.conn != nil {
 		w.conn.sock.Close()
 		w.conn = nil
@@ -249,6 +293,19 @@
 	}
 }
 
+// told takes a list to the core.
+func (w *Watcher) told(list List) {
+	w.version, w.whole = list.Generation, w.whole && !list.Reset
+	kind := piernotch.ListDelta
+	if list.Reset {
+		kind = piernotch.ListFull
+	}
+	for _, e := range list.Members {
+		slog.Info("list change", "server", e.Name, "address", e.Address, "state", e.Entry.State, "generation", w.version)
+	}
+	w.emit(core.Members{Kind: kind, Entries: list.Members})
+}
+
 func (w *Watcher) answered(m *http1.Message) {
 	if m.Status != http1.StatusOK {
 		w.fail(fmt.Errorf("status %d", m.Status))
@@ -259,15 +316,17 @@
 		w.fail(err)
 		return
 	}
-	w.version, w.whole = list.Generation, w.whole && !list.Reset
-	kind := piernotch.ListDelta
-	if list.Reset {
-		kind = piernotch.ListFull
+	if w.lists != nil {
+		p := group.Post{Source: w.address, From: w.version, To: list.Generation, Whole: list.Reset, Body: m.Body}
+		if p.Whole {
+			p.From = 0
+		}
+		w.lists.Told(p)
 	}
-	for _, e := range list.Members {
-		slog.Info("list change", "server", e.Name, "address", e.Address, "state", e.Entry.State, "generation", w.version)
+	// A call that was out while another balancer's list came may bring an older one.
+	if w.lists == nil || list.Reset || list.Generation >= w.version {
+		w.told(list)
 	}
-	w.emit(core.Members{Kind: kind, Entries: list.Members})
 	w.asking = false
 	if m.Close {
 		w.conn.sock.Close()
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"piernotch"
+	"piernotch/internal/group"
 	"piernotch/internal/serve/config"
 	"piernotch/internal/serve/core"
 	"piernotch/internal/serve/discovery"
@@ -103,6 +104,14 @@
 	return n, nil
 }
 
+// Share has the watch of discovery go by a group in which one balancer may ask for many. It is called
+// before Start.
+func (n *Node) Share(join group.Join) {
+	if l := join(n.cfg.Discovery, func(p group.Post) { n.engine.Post(func() { n.watcher.Take(p) }) }); l != nil {
+		n.watcher.Share(l)
+	}
+}
+
 // now is the module's clock: Unix time, as the servers' starts are told in it,
 // read once and advanced by the monotonic clock so that it never jumps.
 func (n *Node) now() time.Duration { return n.base + time.Since(n.epoch) }
