Ask again at once when a question is lost, and rely on no holder at another discovery

Cause: who waits stands in the leader's queue once it was refused there. A question that met a voter that does not lead, or a connection that ended, was taken for one on its way, so the next came up to a term later; a nudge was passed over for the same reason (holder.Next, h.asked). Read beside it: a balancer that SIGHUP had sent to another discovery took a holder at the old one for a reason not to ask, and took none of its lists.

Change: Holder.Lost; what waits on a connection is told when it ends; Asks is told by which discovery the balancer goes, and a holder at another one is not heard.

Tests fail without either part.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -26,8 +26,9 @@
 // Lists is what a balancer's watch of discovery goes by where one balancer asks for many. Its methods
 // do not block and may be called from any goroutine.
 type Lists interface {
-	// Asks tells whether this balancer asks discovery now, and whether for the whole list.
-	Asks() (ask, whole bool)
+	// Asks tells whether this balancer, which goes by discovery at source, asks it now, and whether for
+	// the whole list.
+	Asks(source string) (ask, whole bool)
 	// Told passes on what this balancer's own call brought.
 	Told(Post)
 	// Failed says that this balancer's own call failed.
--- a/internal/group/lease/holder.go
+++ b/internal/group/lease/holder.go
@@ -76,6 +76,13 @@
 // Leave has the holder want the duty no more: it stops at once, and Next tells the group.
 func (h *Holder) Leave() { h.left, h.asked, h.next = true, false, 0 }
 
+// Lost says that question seq will not be answered: another may be asked at once, of another voter.
+func (h *Holder) Lost(seq uint64) {
+	if h.asked && seq == h.out.Seq {
+		h.asked, h.next = false, 0
+	}
+}
+
 // Nudge says that the duty may have come free: it is asked for at once.
 func (h *Holder) Nudge() {
 	if !h.held && !h.asked {
--- a/internal/group/lease/lease_test.go
+++ b/internal/group/lease/lease_test.go
@@ -112,6 +112,15 @@
 	_, may = h.May(now)
 	require.False(t, may)
 
+	h = NewHolder(terms, a, "x")
+	ask, _ = h.Next(now, time.Hour)
+	h.Nudge()
+	_, is = h.Next(now, time.Hour)
+	require.False(t, is, "an answer is on its way")
+	h.Lost(ask.Seq)
+	_, is = h.Next(now, time.Hour)
+	require.True(t, is, "another voter is asked at once")
+
 	h = NewHolder(terms, a, "x")
 	take(3)
 	h.Leave()
--- a/internal/group/member/lists.go
+++ b/internal/group/member/lists.go
@@ -24,6 +24,7 @@
 	holder   *watch.Holder
 	token    uint64 // under which own was published last
 	sent     uint64 // up to this version
+	by       string // the discovery that this balancer goes by now
 	source   string // what is known here
 	version  uint64
 	alone    bool          // as last told in the log
@@ -48,16 +49,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lists.take, m.lists.address = take, source
+	m.lists.by = m.lists.common(source)
 	return seam{m.lists}
 }
 
 // seam is lists as the balancer sees it.
 type seam struct{ l *lists }
 
-func (s seam) Asks() (ask, whole bool) {
+func (s seam) Asks(source string) (ask, whole bool) {
 	l := s.l
 	l.m.mu.Lock()
 	defer l.m.mu.Unlock()
+	l.by = l.common(source)
 	now := l.m.now()
 	_, holds := l.m.holders[l.duty].May(now)
 	ask = l.follower.Asks(now, holds)
@@ -65,8 +68,8 @@
 		l.alone = alone
 		slog.Info("group: discovery is asked", "by_itself", alone, "duty", l.duty)
 	}
-	_, _, any := l.own.Last()
-	return ask, holds && !any
+	from, _, any := l.own.Last()
+	return ask, holds && (!any || from != l.by)
 }
 
 // common is the name that all balancers have for a discovery that this one reaches at an address.
@@ -179,6 +182,9 @@
 
 // heard takes what a holder has published.
 func (l *lists) heard(token uint64, p group.Post) {
+	if p.Source != l.by { // a holder that asks another discovery is none of this balancer's
+		return
+	}
 	if _, holds := l.m.holders[l.duty].May(l.m.now()); holds || !l.follower.Word(l.m.now(), token) {
 		return
 	}
--- a/internal/group/member/member.go
+++ b/internal/group/member/member.go
@@ -145,11 +145,16 @@
 	if a.Renew {
 		kind = message.Renew
 	}
-	m.ask(message.Question{Kind: kind, Command: a.Command}, func(b message.Answer) {
+	sent := m.ask(message.Question{Kind: kind, Command: a.Command}, func(b message.Answer) {
 		if final(b.Err) {
 			h.Answered(m.now(), a.Seq, b.Grant, b.Err)
+		} else {
+			h.Lost(a.Seq)
 		}
 	})
+	if !sent {
+		h.Lost(a.Seq)
+	}
 }
 
 // final tells whether an error is the group's answer, and not the lack of one.
@@ -157,15 +162,17 @@
 	return err == nil || errors.Is(err, lease.ErrHeld) || errors.Is(err, lease.ErrNotHeld)
 }
 
-// ask sends a question, if there is a connection; m.mu is held, then is called under it.
-func (m *Member) ask(q message.Question, then func(message.Answer)) {
+// ask sends a question, if there is a connection, and tells whether; m.mu is held, then is called
+// under it, with ErrUnknown if no answer comes.
+func (m *Member) ask(q message.Question, then func(message.Answer)) bool {
 	if m.conn == nil {
-		return
+		return false
 	}
 	m.key++
 	q.Key = m.key
 	m.out[q.Key] = question{q, time.Now(), then}
 	m.conn.Send(peer.Frame{Ask: &peer.Ask{Key: q.Key, Kind: q.Kind, Command: q.Command, Voter: q.Voter, Post: q.Post}})
+	return true
 }
 
 // silence leaves a voter that does not answer.
@@ -201,6 +208,7 @@
 			if m.lists != nil {
 				m.lists.connected()
 			}
+			m.turn()
 			m.mu.Unlock()
 			m.read(c)
 			ended()
@@ -218,6 +226,7 @@
 		m.conn = nil
 		for k, q := range m.out {
 			m.saw(q, message.Answer{}, peer.ErrClosed)
+			q.then(message.Answer{Err: message.ErrUnknown})
 			delete(m.out, k)
 		}
 		m.mu.Unlock()
--- a/internal/lab/groupmodel/member.go
+++ b/internal/lab/groupmodel/member.go
@@ -159,6 +159,7 @@
 	}
 	m.call(q, func(b message.Answer) {
 		if !final(b.Err) {
+			h.Lost(a.Seq)
 			return
 		}
 		h.Answered(m.now(), a.Seq, b.Grant, b.Err)
--- a/internal/lab/grouprig/rig.go
+++ b/internal/lab/grouprig/rig.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -96,14 +97,21 @@
 	}
 }
 
-// free returns an address that nobody listens on.
+// port is the last that was given out. They lie below those that the system gives to connections, which
+// would take one between its being found free and its use.
+var port atomic.Int32
+
+// free returns an address that nobody listens on, and that this process gives out once.
 func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const first, last = 20000, 32000
+	port.CompareAndSwap(0, int32(first+rand.IntN(last-first)))
+	for range last - first {
+		a := fmt.Sprintf("127.0.0.1:%d", first+(port.Add(1)-first)%(last-first))
+		if l, err := net.Listen("tcp", a); err == nil {
+			return a, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no address is free")
 }
 
 // begin starts all processes and waits until every duty is held. What it returns has to be closed.
--- a/internal/serve/discovery/discovery.go
+++ b/internal/serve/discovery/discovery.go
@@ -186,7 +186,7 @@
 // begin makes a call, on the connection that stands or on a new one.
 func (w *Watcher) begin() {
 	if w.lists != nil {
-		ask, whole := w.lists.Asks()
+		ask, whole := w.lists.Asks(w.address)
 		if !ask { // the call is made once nobody asks for this balancer any more
 			w.askAt = w.now() + lookAgain
 			w.until = w.askAt + wait + grace
--- a/internal/serve/node/shared_test.go
+++ b/internal/serve/node/shared_test.go
@@ -25,9 +25,9 @@
 	behind []uint64
 }
 
-func (l *lists) Asks() (bool, bool) { l.mu.Lock(); defer l.mu.Unlock(); return l.ask, false }
-func (l *lists) Told(p group.Post)  { l.mu.Lock(); defer l.mu.Unlock(); l.told = append(l.told, p) }
-func (l *lists) Failed()            {}
+func (l *lists) Asks(string) (bool, bool) { l.mu.Lock(); defer l.mu.Unlock(); return l.ask, false }
+func (l *lists) Told(p group.Post)        { l.mu.Lock(); defer l.mu.Unlock(); l.told = append(l.told, p) }
+func (l *lists) Failed()                  {}
 func (l *lists) Behind(_ string, version uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
