Draw who held what under which faults, and shrink schedules that break the group

Need: a failure of the group's campaigns was told as a list of faults alone; which of them mattered, and who held the duty when, had to be found by hand.

A voter forgets what another one said of its disk when the connection ends: a group must not begin with a disk that is gone.

--- a/cmd/notchlab/group.go
+++ b/cmd/notchlab/group.go
@@ -15,6 +15,7 @@
 	"github.com/schollz/progressbar/v3"
 	"golang.org/x/sync/errgroup"
 
+	"piernotch/internal/lab/chaos"
 	"piernotch/internal/lab/groupmodel"
 	"piernotch/internal/lab/grouprig"
 )
@@ -35,6 +36,21 @@
 	Faults  int    `default:"12" help:"Faults of each seed."`
 	Length  int    `default:"60" help:"Seconds of each seed; the last 25 are without faults."`
 	JSON    string `name:"json" placeholder:"FILE" help:"Keep the results there."`
+	SVG     string `name:"svg" placeholder:"FILE" help:"With one seed: draw who held what, and what went wrong."`
+}
+
+// draw keeps the picture of a seed.
+func (g *groupSize) draw(seed uint64, faults []groupmodel.Fault, spans []groupmodel.Span) error {
+	if g.SVG == "" || g.Runs != 1 {
+		return nil
+	}
+	f, err := os.Create(g.SVG)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	groupmodel.Timeline(f, fmt.Sprintf("seed %d", seed), g.size().Length, faults, spans)
+	return nil
 }
 
 func (g *groupSize) size() groupmodel.Size {
@@ -46,14 +62,27 @@
 
 type groupModelCmd struct {
 	groupSize
-	Workers int  `default:"0" help:"Processes side by side; 0: one a core."`
-	Child   bool `hidden:"" help:"Play the seeds here, and print each result."`
+	Workers int    `default:"0" help:"Processes side by side; 0: one a core."`
+	Shrink  int    `default:"0" help:"Plays that may be spent on leaving out faults of a seed that breaks something."`
+	Replay  string `placeholder:"FILE" help:"Play the schedule in the file, on its seed."`
+	Child   bool   `hidden:"" help:"Play the seeds here, and print each result."`
+}
+
+// schedule is a seed's faults as they are kept in a file.
+type schedule struct {
+	Seed   uint64             `json:"seed"`
+	Size   groupmodel.Size    `json:"size"`
+	Faults []groupmodel.Fault `json:"faults"`
+	Broken string             `json:"broken"`
 }
 
 func (c *groupModelCmd) Run(ctx context.Context, o *output) error {
 	if c.Child {
 		return c.child(ctx, o)
 	}
+	if c.Replay != "" || c.Runs == 1 {
+		return c.one(o)
+	}
 	if c.Workers == 0 {
 		c.Workers = runtime.NumCPU()
 	}
@@ -75,13 +104,61 @@
 	}
 	fmt.Fprintf(o.out, "%d seeds, %d grants, %d acts, %d refused by their token, a duty held by nobody %.1f%% of the time\n",
 		len(results), grants, acts, fenced, 100*unheld/float64(max(len(results), 1)))
+	for _, b := range broken {
+		if c.Shrink > 0 {
+			if err := c.shrink(o, b); err != nil {
+				return err
+			}
+		}
+	}
 	return c.end(o, "model", results, broken)
 }
 
+// one plays one seed, or a schedule of a file, here.
+func (c *groupModelCmd) one(o *output) error {
+	s := schedule{Seed: c.Seed, Size: c.size()}
+	s.Faults = groupmodel.Draw(s.Seed, s.Size)
+	if c.Replay != "" {
+		data, err := os.ReadFile(c.Replay)
+		if err == nil {
+			err = json.Unmarshal(data, &s)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", c.Replay, err)
+		}
+	}
+	r := groupmodel.PlayFaults(s.Seed, s.Size, s.Faults)
+	fmt.Fprintf(o.out, "seed %d: %d grants, %d acts, %d refused by their token\n", r.Seed, r.Grants, r.Acts, r.Fenced)
+	if err := c.draw(s.Seed, s.Faults, r.Spans); err != nil {
+		return err
+	}
+	var broken []told
+	if len(r.Broken) > 0 {
+		broken = append(broken, told{r.Seed, r.Broken, r.Faults})
+	}
+	return c.end(o, "model", []groupmodel.Result{r}, broken)
+}
+
+// shrink looks for fewer faults that still break something, and keeps them in a file.
+func (c *groupModelCmd) shrink(o *output, b told) error {
+	s := schedule{Seed: b.seed, Size: c.size(), Broken: b.broken[0]}
+	s.Faults = chaos.Shrink(b.faults, c.Shrink, func(faults []groupmodel.Fault) bool {
+		r := groupmodel.PlayFaults(s.Seed, s.Size, faults)
+		if len(r.Broken) > 0 {
+			s.Broken = r.Broken[0]
+		}
+		return len(r.Broken) > 0
+	})
+	name := fmt.Sprintf("group-%d.json", s.Seed)
+	fmt.Fprintf(o.out, "%d faults still break something: notchlab group model --replay %s\n", len(s.Faults), name)
+	return write(name, s)
+}
+
 // told is a seed that broke something.
 type told struct {
-	seed           uint64
-	broken, faults []string
+	seed   uint64
+	broken []string
+	faults []groupmodel.Fault
 }
 
 // end tells what was broken, keeps the results, and gives the exit code.
@@ -233,10 +310,13 @@
 	)
 	if err := c.each(ctx, o, func(opts grouprig.Options) error {
 		r, err := grouprig.Run(ctx, opts)
+		if err != nil {
+			return err
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		all = append(all, r)
-		return err
+		return c.draw(r.Seed, groupmodel.Draw(r.Seed, opts.Size), r.Spans)
 	}); err != nil {
 		return err
 	}
--- a/internal/group/voter/voter.go
+++ b/internal/group/voter/voter.go
@@ -372,8 +372,9 @@
 			v.post(func() { l.conn, v.hails[l.to.Name] = c, c.Them })
 			v.read(c)
 			v.post(func() {
-				if l.conn == c {
+				if l.conn == c { // what it said of its disk is no longer known, either
 					l.conn = nil
+					delete(v.hails, l.to.Name)
 				}
 			})
 		}
--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -197,7 +197,7 @@
 
 // Shrink leaves out steps as long as fails says that what is left still fails, and returns what it
 // could not leave out. It asks at most so many times.
-func Shrink(steps []Step, most int, fails func([]Step) bool) []Step {
+func Shrink[T any](steps []T, most int, fails func([]T) bool) []T {
 	for size := (len(steps) + 1) / 2; size >= 1 && most > 0; {
 		shorter := false
 		for i := 0; i < len(steps) && len(steps) > 1 && most > 0; i += size {
--- a/internal/lab/groupmodel/member.go
+++ b/internal/lab/groupmodel/member.go
@@ -95,10 +95,23 @@
 	}
 	if may {
 		m.w.alone(m, i)
+		m.w.span(duty(i), token, m.me.Name)
 	}
 	return token, may
 }
 
+// span notes that a duty is held now.
+func (w *world) span(d lease.Duty, token uint64, name string) {
+	all := w.result.Spans
+	for i := len(all) - 1; i >= 0; i-- {
+		if s := &all[i]; s.Duty == string(d) && s.Token == token && s.Member == name {
+			s.To = w.now
+			return
+		}
+	}
+	w.result.Spans = append(all, Span{string(d), token, name, w.now, w.now})
+}
+
 // alone breaks the run if another process holds the duty by its own clock at this moment.
 func (w *world) alone(m *member, i int) {
 	if gap := w.now - w.free[duty(i)]; gap > 2*looks {
--- a/internal/lab/groupmodel/world.go
+++ b/internal/lab/groupmodel/world.go
@@ -36,7 +36,8 @@
 type Result struct {
 	Seed   uint64   `json:"seed"`
 	Broken []string `json:"broken,omitempty"`
-	Faults []string `json:"faults,omitempty"` // of a seed that broke something
+	Faults []Fault  `json:"faults,omitempty"` // of a seed that broke something
+	Spans  []Span   `json:"-"`
 	Acts   int      `json:"acts"`
 	Fenced int      `json:"fenced"`
 	Calls  int      `json:"calls"`
@@ -180,8 +181,8 @@
 	}
 }
 
-// run plays one seed; see Play.
-func run(seed uint64, size Size) Result {
+// run plays one seed; see PlayFaults.
+func run(seed uint64, size Size, faults []Fault) Result {
 	w := &world{
 		size: size, rng: rand.New(rand.NewPCG(seed, 0x90de)), cuts: map[[2]int]int{}, digest: 14695981039346656037,
 		acts: map[lease.Duty]map[uint64]int{}, free: map[lease.Duty]time.Duration{}, result: Result{Seed: seed},
@@ -204,7 +205,6 @@
 	for _, n := range w.nodes {
 		n.start()
 	}
-	faults := Draw(seed, size)
 	for _, f := range faults {
 		w.at(f.At, func() { w.strike(f) })
 	}
@@ -217,9 +217,7 @@
 		w.finish()
 	}
 	if len(w.result.Broken) > 0 {
-		for _, f := range faults {
-			w.result.Faults = append(w.result.Faults, f.String())
-		}
+		w.result.Faults = faults
 	}
 	w.result.Digest, w.result.Calls = w.digest, len(w.calls)
 	return w.result
--- a/internal/lab/grouprig/rig.go
+++ b/internal/lab/grouprig/rig.go
@@ -41,15 +41,16 @@
 
 // Result is what came of a seed.
 type Result struct {
-	Seed   uint64    `json:"seed"`
-	Broken []string  `json:"broken,omitempty"`
-	Faults []string  `json:"faults,omitempty"`
-	Left   []string  `json:"left,omitempty"` // kinds that the rig cannot play on processes
-	Acts   int       `json:"acts"`
-	Fenced int       `json:"fenced"`
-	Calls  int       `json:"calls"`
-	Grants int       `json:"grants"`
-	Gaps   []float64 `json:"gaps_s"` // from the last act under one token to the first under the next
+	Seed   uint64             `json:"seed"`
+	Broken []string           `json:"broken,omitempty"`
+	Faults []groupmodel.Fault `json:"faults,omitempty"`
+	Spans  []groupmodel.Span  `json:"-"`
+	Left   []string           `json:"left,omitempty"` // kinds that the rig cannot play on processes
+	Acts   int                `json:"acts"`
+	Fenced int                `json:"fenced"`
+	Calls  int                `json:"calls"`
+	Grants int                `json:"grants"`
+	Gaps   []float64          `json:"gaps_s"` // from the last act under one token to the first under the next
 }
 
 // process is one that the rig started.
@@ -177,9 +178,7 @@
 		r.finish()
 	}
 	if len(r.result.Broken) > 0 {
-		for _, f := range faults {
-			r.result.Faults = append(r.result.Faults, f.String())
-		}
+		r.result.Faults = faults
 	}
 	return r.result, ctx.Err()
 }
@@ -551,6 +550,12 @@
 			tokens = append(tokens, t)
 		}
 		slices.Sort(tokens)
+		for _, t := range tokens {
+			s := by[t]
+			r.result.Spans = append(r.result.Spans, groupmodel.Span{
+				Duty: string(d), Token: t, Member: s.name, From: time.Unix(0, s.first).Sub(r.begun), To: time.Unix(0, s.last).Sub(r.begun),
+			})
+		}
 		for i, t := range tokens[1:] {
 			was, is := by[tokens[i]], by[t]
 			if was.last >= is.first {
