--- a/internal/lab/rehearse/shared.go
+++ b/internal/lab/rehearse/shared.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// told has the judge hear what a balancer was told, for all that share its watch.
+// told has the judge hear what a balancer was told, for all that share its watch. That a server is ready
+// counts at once, for whoever hears of it may use it; that it leaves, when all must have heard.
 func (s *shared) told(r *rig, balancer, server int, state piernotch.State, born time.Duration) {
 	tell := func(b int) {
 		s.last[[2]int{b, server}]++
@@ -102,6 +103,10 @@
 		if b == balancer {
 			continue
 		}
+		if state == piernotch.Ready {
+			tell(b)
+			continue
+		}
 		before := s.last[[2]int{b, server}]
 		time.AfterFunc(sharedLate, func() {
 			s.mu.Lock()
