Take a connection's end for one in order only where that end was read

Cause: the poller closes with io.EOF whatever ended the connection. Where a reset arrives between the reads of one event and the next, that event can carry an error and nothing to read, so Engine.read is not called, and the poller's io.EOF passed for an end in order. Ruled out by reading: the reads themselves, which tell a reset as one.

Change: Engine.read closes with a word of its own, which alone becomes io.EOF; the poller's is told as a break.

--- a/internal/serve/sock/sock.go
+++ b/internal/serve/sock/sock.go
@@ -30,6 +30,10 @@
 // ErrShort says that the descriptor budget is spent.
 var ErrShort = errors.New("descriptor budget is spent")
 
+// errEnd is an end in order that was read; the poller's own word for any end is io.EOF, also where a
+// reset has come and nothing is left to be read. errUnread is told then.
+var errEnd, errUnread = errors.New("end of the connection"), errors.New("the connection broke")
+
 // Handler is told what happens on a connection, on the owning goroutine. The
 // data is only lent: the buffer is used again after the call. Closed gets io.EOF if the
 // peer has ended in order; where we called it, all that it sent has gone before.
@@ -122,6 +126,12 @@
 	e.nb.OnOpen(func(*nbio.Conn) {})
 	e.nb.OnRead(e.read)
 	e.nb.OnClose(func(nc *nbio.Conn, err error) {
+		switch err {
+		case errEnd:
+			err = io.EOF
+		case io.EOF:
+			err = errUnread
+		}
 		if c, ok := nc.Session().(*Conn); ok {
 			e.Post(func() {
 				e.release(c)
@@ -234,7 +244,7 @@
 		case errors.Is(err, syscall.EAGAIN):
 			return
 		case err == nil && n == 0:
-			err = io.EOF
+			err = errEnd
 		}
 		if err != nil {
 			_ = nc.CloseWithError(err)
