Use one piece where the group and its rig had written several

Change: message.Final and message.Of; faultnet.Free for all rigs; beside takes the program's name; cmp.Compare for a comparison written out; the voter notes in one place that its disk is of the group; the rig keeps which disks vote apart from which were lost, without made-up keys; a branch that ended alike on both sides is one.

--- a/cmd/notchlab/chaos.go
+++ b/cmd/notchlab/chaos.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
 
 	"piernotch/internal/lab/chaos"
 	"piernotch/internal/lab/model"
@@ -48,11 +47,13 @@
 		}
 		return nil
 	}
-	if err := beside(&c.Program); err != nil {
+	if err := beside(&c.Program, "piernotch"); err != nil {
 		return err
 	}
 	if c.Group {
-		c.voter = filepath.Join(filepath.Dir(c.Program), "piernotch-voter")
+		if err := beside(&c.voter, "piernotch-voter"); err != nil {
+			return err
+		}
 	}
 	var all []*chaosRun
 	bad := 0
--- a/cmd/notchlab/drill.go
+++ b/cmd/notchlab/drill.go
@@ -39,7 +39,7 @@
 			return fmt.Errorf("no drill %q; --list tells them", name)
 		}
 	}
-	if err := beside(&c.Program); err != nil {
+	if err := beside(&c.Program, "piernotch"); err != nil {
 		return err
 	}
 	t := table.NewWriter()
--- a/cmd/notchlab/group.go
+++ b/cmd/notchlab/group.go
@@ -93,11 +93,9 @@
 	}
 	acts, fenced, grants := 0, 0, 0
 	unheld := 0.0
-	for _, r := range results {
-		acts, fenced, grants, unheld = acts+r.Acts, fenced+r.Fenced, grants+r.Grants, unheld+r.Unheld
-	}
 	broken := []told{}
 	for _, r := range results {
+		acts, fenced, grants, unheld = acts+r.Acts, fenced+r.Fenced, grants+r.Grants, unheld+r.Unheld
 		if len(r.Broken) > 0 {
 			broken = append(broken, told{r.Seed, r.Broken, r.Faults})
 		}
@@ -270,8 +268,8 @@
 	if err != nil {
 		return err
 	}
-	if c.Program == "" {
-		c.Program = filepath.Join(filepath.Dir(self), "piernotch-voter")
+	if err := beside(&c.Program, "piernotch-voter"); err != nil {
+		return err
 	}
 	dir := c.Logs
 	if dir == "" {
--- a/cmd/notchlab/handover.go
+++ b/cmd/notchlab/handover.go
@@ -20,7 +20,7 @@
 }
 
 func (c *handoverCmd) Run(ctx context.Context, o *output) error {
-	if err := beside(&c.Program); err != nil {
+	if err := beside(&c.Program, "piernotch"); err != nil {
 		return err
 	}
 	rounds := (c.Times + c.Balancers - 1) / c.Balancers
--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -67,13 +67,13 @@
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-// beside fills in the balancer's program, where none is named: the one beside this program.
-func beside(program *string) error {
+// beside fills in a program, where none is named: the one of that name beside this program.
+func beside(program *string, name string) error {
 	if *program != "" {
 		return nil
 	}
 	self, err := os.Executable()
-	*program = filepath.Join(filepath.Dir(self), "piernotch")
+	*program = filepath.Join(filepath.Dir(self), name)
 	return err
 }
 
--- a/cmd/notchlab/rehearse.go
+++ b/cmd/notchlab/rehearse.go
@@ -55,7 +55,7 @@
 }
 
 func (c *rehearseCmd) Run(ctx context.Context, o *output) error {
-	if err := beside(&c.Program); err != nil {
+	if err := beside(&c.Program, "piernotch"); err != nil {
 		return err
 	}
 	var env []string
--- a/internal/group/member/lists.go
+++ b/internal/group/member/lists.go
@@ -158,8 +158,6 @@
 	posts := l.own.Since(source, l.sent)
 	if l.token != token {
 		posts = l.own.Since("", 0)
-	}
-	if l.token != token {
 		l.holder.Heard(now) // it has a chance to show that its watch stands
 	}
 	l.token, l.source, l.version = token, source, version
--- a/internal/group/member/member.go
+++ b/internal/group/member/member.go
@@ -141,12 +141,8 @@
 
 // hold asks for a holder.
 func (m *Member) hold(h *lease.Holder, a lease.Ask) {
-	kind := message.Change
-	if a.Renew {
-		kind = message.Renew
-	}
-	sent := m.ask(message.Question{Kind: kind, Command: a.Command}, func(b message.Answer) {
-		if final(b.Err) {
+	sent := m.ask(message.Of(a), func(b message.Answer) {
+		if message.Final(b.Err) {
 			h.Answered(m.now(), a.Seq, b.Grant, b.Err)
 		} else {
 			h.Lost(a.Seq)
@@ -157,11 +153,6 @@
 	}
 }
 
-// final tells whether an error is the group's answer, and not the lack of one.
-func final(err error) bool {
-	return err == nil || errors.Is(err, lease.ErrHeld) || errors.Is(err, lease.ErrNotHeld)
-}
-
 // ask sends a question, if there is a connection, and tells whether; m.mu is held, then is called
 // under it, with ErrUnknown if no answer comes.
 func (m *Member) ask(q message.Question, then func(message.Answer)) bool {
--- a/internal/group/message/message.go
+++ b/internal/group/message/message.go
@@ -48,6 +48,20 @@
 	Post    *group.Post
 }
 
+// Of is the question that a holder asks.
+func Of(a lease.Ask) Question {
+	kind := Change
+	if a.Renew {
+		kind = Renew
+	}
+	return Question{Kind: kind, Command: a.Command}
+}
+
+// Final tells whether an answer's error is the group's word, and not the lack of one.
+func Final(err error) bool {
+	return err == nil || errors.Is(err, lease.ErrHeld) || errors.Is(err, lease.ErrNotHeld)
+}
+
 // Answer is the group's.
 type Answer struct {
 	Key   uint64
--- a/internal/group/voter/voter.go
+++ b/internal/group/voter/voter.go
@@ -4,6 +4,7 @@
 package voter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -221,7 +222,7 @@
 	case known:
 		err = v.make(agree.Log{})
 	case len(all) == len(v.cfg.Voters):
-		slices.SortFunc(all, func(a, b message.Voter) int { return cmpName(a.Name, b.Name) })
+		slices.SortFunc(all, func(a, b message.Voter) int { return cmp.Compare(a.Name, b.Name) })
 		log := agree.Born(all)
 		if err = v.disk.Begin(log); err == nil {
 			slog.Info("group: begins", "group", v.cfg.Name, "voters", len(all))
@@ -233,21 +234,7 @@
 	if err != nil {
 		slog.Error("group: does not begin", "err", err)
 		v.stop()
-		return
-	}
-	v.mu.Lock()
-	v.hail.Born = v.disk.Identity().Born
-	v.mu.Unlock()
-}
-
-func cmpName(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
 	}
-	return 0
 }
 
 // join asks to be taken in, as long as this disk is not one that votes.
--- a/internal/lab/groupmodel/member.go
+++ b/internal/lab/groupmodel/member.go
@@ -166,12 +166,8 @@
 // ask asks the group for a holder, and has it hear the answer.
 func (m *member) ask(i int, a lease.Ask) {
 	h := m.holders[i]
-	q := message.Question{Kind: message.Change, Command: a.Command}
-	if a.Renew {
-		q.Kind = message.Renew
-	}
-	m.call(q, func(b message.Answer) {
-		if !final(b.Err) {
+	m.call(message.Of(a), func(b message.Answer) {
+		if !message.Final(b.Err) {
 			h.Lost(a.Seq)
 			return
 		}
@@ -182,11 +178,6 @@
 	})
 }
 
-// final tells whether an error is the group's answer, and not the lack of one.
-func final(err error) bool {
-	return err == nil || errors.Is(err, lease.ErrHeld) || errors.Is(err, lease.ErrNotHeld)
-}
-
 // Call is one question as its asker saw it, and the group's answer.
 type Call struct {
 	Question message.Question
@@ -240,7 +231,7 @@
 		}
 	}
 	w.result.Unheld /= w.size.Length.Seconds() * float64(w.size.Duties)
-	told := slices.DeleteFunc(slices.Clone(w.calls), func(c Call) bool { return !c.answered || !final(c.Err) })
+	told := slices.DeleteFunc(slices.Clone(w.calls), func(c Call) bool { return !c.answered || !message.Final(c.Err) })
 	w.result.Broken = append(w.result.Broken, Linear(told)...)
 }
 
--- a/internal/lab/grouprig/actor.go
+++ b/internal/lab/grouprig/actor.go
@@ -65,7 +65,7 @@
 		_ = enc.Encode(l) // a rig that is gone has ended
 	}
 	m := member.Start(cfg, func(q message.Question, asked, answered time.Time, a message.Answer, err error) {
-		if err != nil || !final(a.Err) {
+		if err != nil || !message.Final(a.Err) {
 			return
 		}
 		c := &call{Kind: q.Kind, Command: q.Command, Asked: asked.UnixNano(), Answered: answered.UnixNano(), Grant: a.Grant}
@@ -91,6 +91,3 @@
 		}
 	}
 }
-
-// final tells whether an error is the group's answer, and not the lack of one.
-func final(err error) bool { return err == nil || err == lease.ErrHeld || err == lease.ErrNotHeld }
--- a/internal/lab/grouprig/rig.go
+++ b/internal/lab/grouprig/rig.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -15,7 +13,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -74,8 +71,9 @@
 	rng    *rand.Rand
 	procs  []*process
 	judge  net.Listener
-	look   *member.Member // the rig's own, to see who votes
-	lost   map[string]uint64
+	look   *member.Member    // the rig's own, to see who votes
+	votes  map[string]uint64 // the disks that vote, when whole was last called, by name
+	lost   map[string]uint64 // the disks that were lost last
 	result Result
 
 	mu    sync.Mutex
@@ -98,27 +96,10 @@
 	}
 }
 
-// port is the last that was given out. They lie below those that the system gives to connections, which
-// would take one between its being found free and its use.
-var port atomic.Int32
-
-// free returns an address that nobody listens on, and that this process gives out once.
-func free() (string, error) {
-	const first, last = 20000, 32000
-	port.CompareAndSwap(0, int32(first+rand.IntN(last-first)))
-	for range last - first {
-		a := fmt.Sprintf("127.0.0.1:%d", first+(port.Add(1)-first)%(last-first))
-		if l, err := net.Listen("tcp", a); err == nil {
-			return a, l.Close()
-		}
-	}
-	return "", errors.New("no address is free")
-}
-
 // begin starts all processes and waits until every duty is held. What it returns has to be closed.
 func begin(ctx context.Context, opts Options) (*rig, error) {
 	r := &rig{
-		opts: opts, net: faultnet.New(opts.Seed), rng: rand.New(rand.NewPCG(opts.Seed, 0x916)), lost: map[string]uint64{},
+		opts: opts, net: faultnet.New(opts.Seed), rng: rand.New(rand.NewPCG(opts.Seed, 0x916)), votes: map[string]uint64{}, lost: map[string]uint64{},
 		acts: map[lease.Duty]map[uint64]*span{}, result: Result{Seed: opts.Seed},
 	}
 	r.ctx, r.stop = context.WithCancel(ctx)
@@ -197,7 +178,7 @@
 	size := r.opts.Size
 	var addresses []string
 	for range size.Voters {
-		a, err := free()
+		a, err := faultnet.Free()
 		if err != nil {
 			return err
 		}
@@ -413,7 +394,7 @@
 		}
 	}
 	for _, v := range i.Voters { // whoever is lost next is lost as this
-		r.lost["now "+v.Name] = v.ID
+		r.votes[v.Name] = v.ID
 	}
 	return true
 }
@@ -431,7 +412,7 @@
 	} else {
 		_ = os.Remove(p.disk)
 	}
-	r.lost[p.name] = r.lost["now "+p.name]
+	r.lost[p.name] = r.votes[p.name]
 }
 
 // set has the links of a fault fail, or be whole again.
@@ -481,10 +462,7 @@
 			dec := json.NewDecoder(bufio.NewReader(nc))
 			for {
 				var l line
-				if err := dec.Decode(&l); err != nil {
-					if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && r.ctx.Err() == nil && !errors.Is(err, io.ErrUnexpectedEOF) {
-						return // a holder that was killed in the middle of a line
-					}
+				if dec.Decode(&l) != nil { // the holder has ended, perhaps in the middle of a line
 					return
 				}
 				r.take(l)
--- a/internal/lab/rehearse/handover.go
+++ b/internal/lab/rehearse/handover.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"piernotch"
+	"piernotch/internal/lab/faultnet"
 	"piernotch/internal/lab/scenario"
 )
 
@@ -99,12 +100,8 @@
 	if p.door == nil {
 		return env, "", nil
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, "", err
-	}
-	management = l.Addr().String()
-	return append(env, "ROUTER_LISTEN_FD=3", "TMPDIR="+p.door.temp, "ROUTER_MANAGEMENT="+management), management, l.Close()
+	management, err = faultnet.Free()
+	return append(env, "ROUTER_LISTEN_FD=3", "TMPDIR="+p.door.temp, "ROUTER_MANAGEMENT="+management), management, err
 }
 
 // Handed counts what came of the hand-overs.
--- a/internal/lab/rehearse/process.go
+++ b/internal/lab/rehearse/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"piernotch/internal/lab/faultnet"
 	"piernotch/internal/lab/scenario"
 	"piernotch/internal/wire"
 )
@@ -55,12 +55,10 @@
 }
 
 func newProcess(opts Options, number int, day *scenario.Day) (*process, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := faultnet.Free()
 	if err != nil {
 		return nil, err
 	}
-	address := l.Addr().String()
-	_ = l.Close()
 	return &process{
 		number: number, zone: day.Balancers[number].Zone, program: opts.Program, env: opts.Env, dir: opts.Logs, address: address,
 		config: filepath.Join(opts.Logs, fmt.Sprintf("n%d.json", number)),
--- a/internal/lab/rehearse/shared.go
+++ b/internal/lab/rehearse/shared.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,7 @@
 	"piernotch"
 	"piernotch/internal/group"
 	"piernotch/internal/group/watch"
+	"piernotch/internal/lab/faultnet"
 )
 
 // shared is one watch of discovery for all balancers, by a group of three voters.
@@ -36,12 +36,11 @@
 	s := &shared{balancers: balancers, last: map[[2]int]int{}}
 	c := group.Config{Name: "rehearsal", Length: sharedLength, Drift: 0.01}
 	for i := range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := faultnet.Free()
 		if err != nil {
 			return nil, err
 		}
-		c.Voters = append(c.Voters, group.Voter{Name: fmt.Sprintf("v%d", i), Address: l.Addr().String()})
-		_ = l.Close()
+		c.Voters = append(c.Voters, group.Voter{Name: fmt.Sprintf("v%d", i), Address: address})
 	}
 	write := func(c group.Config) (string, error) {
 		name := filepath.Join(opts.Logs, c.Self+"-group.toml")
