Write nothing for a request that is over, nor a repeat outside its window

An attempt that waits for its connection was written whenever that came up: core looked at the server's state alone. Answers by another attempt leave a second copy out (Outcome with Closed cancels none), and where the settings allow no cancelling the same holds for clients that left. Ruled out: repeats after an outcome (the module is final by then) and writes of attempts with a connection (written at once).

Change: core ends attempts of which nothing is written with the request (Drop, moot), and asks the module (Stands) before the first byte, which also looks at the window for repeats: that was checked only when the repeat was decided, up to a connect time-out earlier.

Measured: three tests in core fail without it.

--- a/balancer.go
+++ b/balancer.go
@@ -309,10 +309,7 @@
 		return false
 	}
 	// Draining and gone backends get nothing from the moment this proxy knows.
-	if !to.usable() {
-		return false
-	}
-	if r.out > 0 && (!b.set.Limits.SecondCopies || r.class.Effect == Unsafe) {
+	if !to.usable() || r.out > 0 && (!b.set.Limits.SecondCopies || r.class.Effect == Unsafe) {
 		return false
 	}
 	if first := r.firstRun(); first != nil && !r.repeatable(now, first, to) {
@@ -366,15 +363,25 @@
 	return nil
 }
 
-// repeatable tells whether a request that may have run may also go to another.
-func (r *request) repeatable(now time.Duration, first *attempt, to *backend) bool {
-	switch r.class.Effect {
-	case Safe:
-		return true
-	case Unsafe:
+// Stands tells whether an attempt may still be written now that it has a connection: meanwhile
+// its request may have been answered, its backend told to leave, its window for repeats have closed.
+func (b *Balancer) Stands(now time.Duration, id RequestID, try int) bool {
+	r := b.byID[id]
+	if r == nil || r.final || try < 0 || try >= len(r.tries) || now >= r.Deadline {
 		return false
 	}
-	if now > first.sent+r.class.Window {
+	t, first := &r.tries[try], r.firstRun()
+	return t.to.usable() && (first == t || r.repeatable(now, first, t.to))
+}
+
+// repeatable tells whether a request that may have run may also go to another. A repeat has to be
+// there within the window; half of the quickest answer from there is time enough for the way.
+func (r *request) repeatable(now time.Duration, first *attempt, to *backend) bool {
+	way := time.Duration(to.path.quickest / 2 * float64(time.Millisecond))
+	switch {
+	case r.class.Effect == Safe:
+		return true
+	case r.class.Effect == Unsafe, now+way > first.sent+r.class.Window:
 		return false
 	}
 	switch r.class.Scope {
--- a/internal/serve/core/core.go
+++ b/internal/serve/core/core.go
@@ -415,12 +415,28 @@
 	c.forget(r)
 }
 
-// over marks a request as owed nothing more.
+// over marks a request as owed nothing more. An attempt of which nothing was written is not written
+// any more: the module may let others run to their end, or may have to, but this one never began.
 func (c *Core) over(r *request) {
 	r.answered = true
 	r.overdue.Stop()
 	delete(c.clients, r.client)
 	delete(c.ids, r.name)
+	for n, a := range r.tries {
+		if !a.ended && !a.written {
+			c.void(r, n)
+		}
+	}
+}
+
+// void ends an attempt that is not to be written.
+func (c *Core) void(r *request, n int) {
+	c.do(Drop{Ref{r.id, n}})
+	c.pending = append(c.pending, func() {
+		if !r.tries[n].ended {
+			c.ended(r, n, piernotch.Moot, nil)
+		}
+	})
 }
 
 func (c *Core) reply(r *request, reply Reply) {
@@ -459,18 +475,20 @@
 	return r, r.tries[ref.Attempt]
 }
 
-// connected lets an attempt be written, unless its feed server has been told off
-// since: a dial that waited must not become a late send to one that drains.
+// connected lets an attempt be written if that is still right: a dial that waited must not
+// become a late send to a server that drains, or a repeat outside its window.
 func (c *Core) connected(ref Ref) {
 	r, a := c.attempt(ref)
 	if a == nil || a.written {
 		return
 	}
-	if a.to.state != piernotch.Ready || a.to.out {
-		c.do(Drop{ref})
-		c.ended(r, ref.Attempt, piernotch.ConnectFailed, nil)
+	if r.answered || a.to.state != piernotch.Ready || !c.balancer.Stands(c.now, ref.ID, ref.Attempt) {
+		c.void(r, ref.Attempt)
 		return
 	}
+	if c.debug {
+		slog.Debug("written", "id", r.name, "attempt", ref.Attempt, "server", a.to.name, "ms", (c.now - a.sent).Milliseconds())
+	}
 	a.written = true
 	c.do(Write{ref})
 }
--- a/internal/serve/core/core_test.go
+++ b/internal/serve/core/core_test.go
@@ -134,3 +134,92 @@
 	require.Equal(t, []Effect{Said{8, words.ErrUnknown}}, c.Handle(start, Operated{Call: 8, Verb: words.Exclude, Server: "s-9"}))
 	require.Equal(t, []Effect{Drain{true}, Keep{}, Said{Call: 9}}, c.Handle(start, Operated{Call: 9, Verb: words.Evacuate}))
 }
+
+// wide is a core with two servers that has served some requests, in 10 ms each, so that the module knows how
+// long an answer takes and may repeat.
+func wide(t *testing.T, class piernotch.Class, limits piernotch.Limits) (*Core, time.Duration) {
+	c, err := New(piernotch.Settings{
+		Proxies: 1, Zones: []string{"a"}, Tick: Tick, Classes: []piernotch.Class{class}, Limits: limits,
+		Rules: piernotch.Rules{Cold: time.Second},
+	}, 1, start, "127.0.0.1:2", 1)
+	require.NoError(t, err)
+	c.Handle(start, Members{Kind: piernotch.ListFull, Entries: []Member{
+		server(piernotch.Ready), {Name: "s-2", Address: "127.0.0.1:3", Entry: piernotch.Entry{Size: 1}},
+	}})
+	now := start
+	for i := range Client(20) {
+		ref := come(c, now, 100+i).Ref
+		c.Handle(now, Connected{ref})
+		now += 10 * time.Millisecond
+		c.Handle(now, Ended{Ref: ref, Status: piernotch.OK})
+	}
+	return c, now
+}
+
+// come has a request arrive, and returns how it is sent.
+func come(c *Core, now time.Duration, client Client) Send {
+	return c.Handle(now, Arrived{Client: client, ID: fmt.Sprint(client), Hint: 1, Deadline: now + 2*time.Second})[0].(Send)
+}
+
+// again lets time pass until an attempt is sent.
+func again(t *testing.T, c *Core, now time.Duration) (Send, time.Duration) {
+	for end := now + time.Second; now < end; {
+		now += Tick
+		for _, e := range c.Handle(now, Ticked{}) {
+			if s, ok := e.(Send); ok {
+				return s, now
+			}
+		}
+	}
+	require.Fail(t, "nothing was sent again")
+	return Send{}, 0
+}
+
+// The connection of a second copy that comes up behind the answer must not carry the request.
+func TestNothingIsWrittenBehindTheAnswer(t *testing.T) {
+	c, now := wide(t, classed("c", piernotch.Safe), piernotch.Limits{MaxAttempts: 2, SecondCopies: true, Cancel: true})
+	first := come(c, now, 1)
+	c.Handle(now, Connected{first.Ref})
+	copied, now := again(t, c, now)
+	require.Equal(t, first.Ref.ID, copied.Ref.ID)
+	effects := c.Handle(now, Ended{Ref: first.Ref, Status: piernotch.OK})
+	require.Equal(t, Served, effects[0].(Reply).Verdict)
+	require.Contains(t, effects, Drop{copied.Ref})
+	require.NotContains(t, c.Handle(now, Connected{copied.Ref}), Write{copied.Ref})
+	require.Empty(t, c.requests)
+}
+
+// A client that leaves while its request waits for a connection has it sent on never, also where
+// the settings let no attempt be called off.
+func TestNothingIsWrittenForAClientThatLeft(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		c, now := wide(t, classed("c", piernotch.Safe), piernotch.Limits{MaxAttempts: 2, Cancel: cancel})
+		send := come(c, now, 1)
+		require.Contains(t, c.Handle(now, ClientGone{1}), Drop{send.Ref})
+		require.NotContains(t, c.Handle(now, Connected{send.Ref}), Write{send.Ref})
+		require.Empty(t, c.requests)
+	}
+}
+
+// A repeat is decided within its window, and has to be written within it, too.
+func TestARepeatIsNotWrittenOutsideItsWindow(t *testing.T) {
+	class := classed("c", piernotch.Keyed)
+	class.Window = 300 * time.Millisecond
+	for _, x := range []struct {
+		after time.Duration
+		write bool
+	}{{290 * time.Millisecond, true}, {301 * time.Millisecond, false}} {
+		c, sent := wide(t, class, piernotch.Limits{MaxAttempts: 3, Cancel: true})
+		first := come(c, sent, 1)
+		c.Handle(sent, Connected{first.Ref})
+		effects := c.Handle(sent+10*time.Millisecond, Ended{Ref: first.Ref, Status: piernotch.Reset})
+		repeat := effects[0].(Send)
+		effects = append([]Effect(nil), c.Handle(sent+x.after, Connected{repeat.Ref})...)
+		if x.write {
+			require.Contains(t, effects, Write{repeat.Ref})
+			continue
+		}
+		require.NotContains(t, effects, Write{repeat.Ref})
+		require.Equal(t, Refused, effects[1].(Reply).Verdict, "within the window of its own retry, repeats do no harm")
+	}
+}
