End clients' connections by a half-close and read on, and owe nothing when doing so

Cause: front closed a connection as soon as the kernel had taken the answer. A close over bytes that come behind it is a reset, and what the client had not got by then was gone. Shed dropped connections without looking whether a request waited in the kernel, and CloseIdle those that had just come, whose request was on its way. Ruled out: bad requests, which lingered already.

Change: every end goes by end(): nothing more is read as a request, the sending side is shut once all has left, the rest is read and thrown away until the client's end, 2 s at most. Shed spares what is owed an answer or holds unread bytes; CloseIdle spares connections younger than 300 ms that said nothing.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -36,8 +36,9 @@
 	// for good: what they hold is not there for the others' requests.
 	keep        = 2 * time.Second
 	keepCrowded = 300 * time.Millisecond
-	// lingerFor is how long the rest of a bad request is read and thrown away, so
-	// that its sender gets to read the answer.
+	// lingerFor is how long what still comes is read and thrown away once the sending side has
+	// ended, until the client ends its own: a close over unread bytes is a reset, which would take
+	// an answer with it that is still on its way.
 	lingerFor = 2 * time.Second
 	// leaveFor is how long clients that were sent away may leave a connection idle: it may be
 	// in use a moment later, and then its answer ends it.
@@ -50,6 +51,9 @@
 	spareSilent = 50 * time.Millisecond
 	spareHalf   = 500 * time.Millisecond
 	spareIdle   = 100 * time.Millisecond
+	spareShut   = 100 * time.Millisecond // the end of the sending side is on its way
+	// spareNew is how long an end waits for the request of a connection that has just come.
+	spareNew = 300 * time.Millisecond
 	// maxID bounds a request's id.
 	maxID = 128
 )
@@ -102,10 +106,9 @@
 	client core.Client   // the exchange that is owed an answer; 0: none
 	final  bool          // to be closed when the request in hand is answered
 	asked  bool          // has sent a byte
-	since  time.Duration // when the request in hand, or else the quiet, began
-	dying  bool          // closes once all is written
-	linger time.Duration // after a bad request: reads on, to no end, until then
-	shut   bool          // the sending side has ended
+	since  time.Duration // when the request in hand, or else the quiet, began; of the shutdown, once shut
+	dying  bool          // nothing is read any more; shuts once all is written
+	shut   bool          // the sending side has ended; closes once the client's has
 }
 
 // New returns a front with no connections. ready says whether requests can be
@@ -168,8 +171,7 @@
 // bad answers what cannot be served on a connection that cannot go on.
 func (c *conn) bad(status int, reason string) {
 	slog.Info("bad request", "status", status, "err", reason)
-	c.final, c.linger = true, c.f.now()+lingerFor
-	c.sock.Ignore()
+	c.final = true
 	c.plain(status, reason)
 }
 
@@ -371,22 +373,22 @@
 		return // reported as a close
 	}
 	if c.final {
-		c.dying = true
-		c.finish()
+		c.end()
 	}
 }
 
-// finish closes the connection if all has been written; Tick tries again.
+// end has nothing more served on the connection: what comes from now on is not read as a request.
+func (c *conn) end() {
+	c.dying = true
+	c.sock.Ignore()
+	c.finish()
+}
+
+// finish ends the sending side if all has been written; Tick tries again. The client's end closes.
 func (c *conn) finish() {
-	if c.linger > c.f.now() {
-		if !c.shut && c.sock.Unsent() == 0 {
-			c.shut = true
-			c.sock.CloseWrite()
-		}
-		return
-	}
-	if c.sock.CloseSent() {
-		delete(c.f.conns, c)
+	if !c.shut && c.sock.Unsent() == 0 {
+		c.shut, c.since = true, c.f.now()
+		c.sock.CloseWrite()
 	}
 }
 
@@ -422,12 +424,14 @@
 	for c := range f.conns {
 		age := now - c.since
 		switch {
-		case c.dying || !c.asked && age >= spareSilent:
+		case c.shut && age >= spareShut:
+			out[0] = append(out[0], c)
+		case c.dying || c.client != 0 || c.sock.Unsent() > 0: // an answer is owed
+		case !c.asked && age >= spareSilent && c.sock.Silent():
 			out[0] = append(out[0], c)
-		case c.client != 0 || c.sock.Unsent() > 0:
 		case !c.parser.Idle() && age >= spareHalf:
 			out[1] = append(out[1], c)
-		case c.asked && c.parser.Idle() && age >= spareIdle:
+		case c.asked && c.parser.Idle() && age >= spareIdle && c.sock.Silent():
 			out[2] = append(out[2], c)
 		}
 	}
@@ -441,11 +445,12 @@
 	}
 }
 
-// CloseIdle closes all idle connections, but for those on which a request has just come.
+// CloseIdle ends all idle connections, but for those on which a request has just come, or is to
+// be expected.
 func (f *Front) CloseIdle() {
 	for c := range f.conns {
-		if c.idle() && c.sock.Silent() {
-			c.drop()
+		if c.idle() && (c.asked || f.now()-c.since > spareNew) && c.sock.Silent() {
+			c.end()
 		}
 	}
 }
@@ -466,23 +471,27 @@
 	for c := range f.conns {
 		age := now - c.since
 		switch {
-		case c.dying && age <= writeFor:
-			c.finish()
+		case c.shut:
+			if age > lingerFor {
+				c.drop()
+			}
 		case c.client != 0: // the core sees to it
 		case c.dying || c.sock.Unsent() > 0:
 			if age > writeFor {
 				c.drop()
+			} else if c.dying {
+				c.finish()
 			}
 		case !c.asked:
-			if age > silentFor {
-				c.drop()
+			if age > silentFor && c.sock.Silent() {
+				c.end()
 			}
 		case !c.parser.Idle():
 			if age > readFor {
 				c.bad(http1.StatusRequestTimeout, "the request did not come to its end")
 			}
 		case age > keep && c.sock.Silent():
-			c.drop()
+			c.end()
 		}
 	}
 }
--- a/internal/serve/sock/sock.go
+++ b/internal/serve/sock/sock.go
@@ -555,13 +555,3 @@
 		_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
 	}
 }
-
-// CloseSent ends the connection once all that was written has left, or tells
-// that it has to be called again.
-func (c *Conn) CloseSent() bool {
-	if !c.closed && c.Unsent() > 0 {
-		return false
-	}
-	c.Close()
-	return true
-}
