Answer what comes after a Terminate before the platform may kill the process

Cause: a request that comes on a kept connection late in the lame duck kept its own deadline. SIGKILL comes no sooner than the longest deadline, counted as 3 s where that is longer, plus 0.7 s; with deadlines of 5 and 6 s it can find such a request unanswered, which loses it.

Change: from a Terminate on no request waits longer than until 0.2 s before that.

Measured: the new test in core fails without it.

--- a/internal/serve/core/core.go
+++ b/internal/serve/core/core.go
@@ -206,6 +206,13 @@
 // of the end only some time later.
 const LameDuck = 700 * time.Millisecond
 
+// The platform kills a process so long after the end of its lame duck at the soonest: the longest
+// deadline, counted as killWithin where that is longer. All is answered lastAnswer before.
+const (
+	killWithin = 3 * time.Second
+	lastAnswer = 200 * time.Millisecond
+)
+
 type attempt struct {
 	to      *backend
 	sent    time.Duration
@@ -261,8 +268,9 @@
 	discovery string // its address
 	probes    map[piernotch.BackendID]*wheel.Timer
 	ending    bool
-	closed    bool // no longer listening
-	debug     bool // each request is told in the log
+	closed    bool          // no longer listening
+	endBy     time.Duration // once it is ending: when all has to be answered
+	debug     bool          // each request is told in the log
 	Counts    Counts
 }
 
@@ -370,7 +378,11 @@
 		c.balancer.Resume(ev.Learnt)
 	case Terminate:
 		if !c.ending {
-			c.ending = true
+			longest := time.Duration(0)
+			for _, k := range c.set.Classes {
+				longest = max(longest, k.Deadline)
+			}
+			c.ending, c.endBy = true, c.now+LameDuck+min(longest, killWithin)-lastAnswer
 			c.wheel.At(c.now+LameDuck, func() {
 				c.closed = true
 				c.do(StopListening{})
@@ -386,6 +398,9 @@
 		c.do(Reply{Client: ev.Client, Verdict: Rejected, Close: c.ending})
 		return
 	}
+	if c.ending {
+		ev.Deadline = min(ev.Deadline, c.endBy)
+	}
 	c.ids[ev.ID] = struct{}{}
 	c.lastID++
 	c.Counts.Taken++
--- a/internal/serve/core/core_test.go
+++ b/internal/serve/core/core_test.go
@@ -223,3 +223,28 @@
 		require.Equal(t, Refused, effects[1].(Reply).Verdict, "within the window of its own retry, repeats do no harm")
 	}
 }
+
+// After a Terminate clients send on what they have open for as long as the process lives. What comes is
+// answered before the platform may kill it, however long its client would wait.
+func TestWhatComesAfterATerminateIsAnsweredBeforeTheKill(t *testing.T) {
+	for _, x := range []struct{ deadline, kill time.Duration }{
+		{2 * time.Second, 2700 * time.Millisecond}, {6 * time.Second, 3700 * time.Millisecond},
+	} {
+		class := classed("c", piernotch.Unsafe)
+		class.Deadline, class.Aim = x.deadline, x.deadline
+		c, now := wide(t, class, piernotch.Limits{MaxAttempts: 1, Cancel: true})
+		c.Handle(now, Terminate{})
+		kill := now + x.kill
+		now += 1500 * time.Millisecond
+		send := c.Handle(now, Arrived{Client: 1, ID: "1", Hint: 1, Deadline: now + x.deadline})[0].(Send)
+		c.Handle(now, Connected{send.Ref})
+		answered := false
+		for ; now < kill && !answered; now += Tick {
+			for _, e := range c.Handle(now, Ticked{}) {
+				_, ok := e.(Reply)
+				answered = answered || ok
+			}
+		}
+		require.True(t, answered, x.deadline)
+	}
+}
