Open a silent watch anew at once, and go on asking by itself where lists are pushed

A silent call was given up 1.5 s after its wait, and then the module put the next one off by a gap of ask_within_ms/8 and its jitter; what is missed counts as told 2 s after the wait, so the next answer came later than the grace. Where lists are pushed the module asks for none, and a process that knew an old list never called at all, though what the agent has counts as told from its first moment.

Change: a call that is silent 1 s after its wait is made anew at once on a new connection; only if that is silent, too, is it a failure for the module. Where lists are pushed the watch keeps itself going, 200 ms after a failure.

Measured: AWatchThatFallsSilentIsOpenedAnew and APushedListIsAskedForAtOnce fail without the change.

--- a/internal/serve/discovery/discovery.go
+++ b/internal/serve/discovery/discovery.go
@@ -21,9 +21,11 @@
 )
 
 const (
-	path    = "/catalog/members"
-	wait    = 5 * time.Second         // how long discovery may hold a watch
-	grace   = 1500 * time.Millisecond // and how much longer it may be silent
+	path = "/catalog/members"
+	wait = 5 * time.Second // how long discovery may hold a watch
+	// grace is how much longer it may be silent. What a silent watch misses counts as told two seconds
+	// after the wait, so the next call has to be answered by then.
+	grace   = time.Second
 	dialFor = time.Second
 	maxList = 4 << 20
 	// pause is the least time from one call to the next: a discovery that answers
@@ -32,6 +34,9 @@
 	pause = 100 * time.Millisecond
 	// lookAgain is how often a balancer that another one asks for looks whether that still holds.
 	lookAgain = 50 * time.Millisecond
+	// pushPause is the time between two tries where the list is pushed: who pushes it is near, and what
+	// it has counts as told.
+	pushPause = 200 * time.Millisecond
 )
 
 type listJSON struct {
@@ -102,6 +107,8 @@
 	zones   []string
 	version uint64
 	whole   bool // the next call asks for the whole list
+	pushed  bool // the module asks for no list: the watch goes on by itself
+	anew    bool // the call that is out stands in for one that fell silent
 	conn    *conn
 	epoch   int           // counts moves: what an earlier address still says is void
 	asking  bool          // a call is out or is being made
@@ -157,29 +164,37 @@
 	w.told(list)
 }
 
+// Push has the watch go on by itself from now on, whatever fails.
+func (w *Watcher) Push() {
+	w.pushed = true
+	w.Watch()
+}
+
 // Watch begins the watch, unless one stands.
 func (w *Watcher) Watch() {
 	if w.asking {
 		return
 	}
 	w.asking = true
-	w.until = w.now() + dialFor + pause + wait + grace
 	if due := w.asked + pause; w.now() < due {
-		w.askAt = due
+		w.ask(due)
 		return
 	}
 	w.begin()
 }
 
+// ask has the next call made at a time.
+func (w *Watcher) ask(at time.Duration) {
+	w.asking, w.askAt = true, at
+	w.until = at + dialFor + wait + grace
+}
+
 // Move leaves the address that is watched for another. Its versions are its own,
 // so the whole list is asked for; late answers from the old address find nobody.
 func (w *Watcher) Move(address string) {
-	if w.conn != nil {
-		w.conn.sock.Close()
-		w.conn = nil
-	}
+	w.hangUp()
 	w.epoch++
-	w.address, w.whole, w.asking, w.asked = address, true, false, 0
+	w.address, w.whole, w.asking, w.anew, w.asked = address, true, false, false, 0
 	w.Watch()
 }
 
@@ -188,15 +203,15 @@
 	if w.lists != nil {
 		ask, whole := w.lists.Asks(w.address)
 		if !ask { // the call is made once nobody asks for this balancer any more
-			w.askAt = w.now() + lookAgain
-			w.until = w.askAt + wait + grace
+			w.ask(w.now() + lookAgain)
 			return
 		}
 		w.whole = w.whole || whole
 	}
 	w.askAt, w.asked = 0, w.now()
+	w.until = w.asked + dialFor + wait + grace
 	if w.conn != nil {
-		w.ask()
+		w.call()
 		return
 	}
 	c, epoch := &conn{w: w, parser: http1.NewResponseParser(maxList)}, w.epoch
@@ -214,12 +229,13 @@
 			w.fail(err)
 		default:
 			w.conn = c
-			w.ask()
+			w.call()
 		}
 	})
 }
 
-func (w *Watcher) ask() {
+// call writes the call.
+func (w *Watcher) call() {
 	w.until = w.now() + wait + grace
 	target := path
 	if !w.whole {
@@ -233,26 +249,42 @@
 // fail ends the watch; the module decides when to ask again.
 func (w *Watcher) fail(err error) {
 	slog.Warn("discovery failed", "address", w.address, "generation", w.version, "err", err)
-	w.asking, w.askAt = false, 0
+	w.asking, w.askAt, w.anew = false, 0, false
 	if w.lists != nil {
 		w.lists.Failed()
 	}
+	w.hangUp()
+	w.emit(core.Members{Kind: piernotch.ListFailed})
+	if w.pushed && !w.asking {
+		w.ask(w.now() + pushPause)
+	}
+}
+
+func (w *Watcher) hangUp() {
 	if w.conn != nil {
 		w.conn.sock.Close()
 		w.conn = nil
 	}
-	w.emit(core.Members{Kind: piernotch.ListFailed})
 }
 
 // Tick gives up a call that has been silent for too long: a discovery that
-// vanished says nothing, and its connection stays open.
+// vanished says nothing, and its connection stays open. The watch may have died alone, and what
+// it misses counts as told soon: the call is made anew at once, and fails if that is silent, too.
 func (w *Watcher) Tick() {
 	if w.askAt > 0 && w.now() >= w.askAt {
 		w.begin()
 	}
-	if w.asking && w.now() > w.until {
+	if !w.asking || w.now() <= w.until {
+		return
+	}
+	if w.conn == nil || w.anew {
 		w.fail(fmt.Errorf("silent for too long"))
+		return
 	}
+	slog.Warn("watch silent, opened anew", "address", w.address, "generation", w.version)
+	w.hangUp()
+	w.anew = true
+	w.begin()
 }
 
 // Data takes bytes from discovery.
@@ -327,10 +359,9 @@
 	if w.lists == nil || list.Reset || list.Generation >= w.version {
 		w.told(list)
 	}
-	w.asking = false
+	w.asking, w.anew = false, false
 	if m.Close {
-		w.conn.sock.Close()
-		w.conn = nil
+		w.hangUp()
 	}
 	w.Watch()
 }
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -135,6 +135,9 @@
 		n.emit(core.Ticked{})
 		n.watcher.Watch()
 	}
+	if !n.cfg.Settings.AskDiscovery {
+		n.watcher.Push()
+	}
 	n.beside.merge(peers) // what was said is of servers that are listed by now
 	n.beside.keep()
 	if err := n.listen(); err != nil {
--- /dev/null
+++ b/internal/serve/node/watch_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/serve/config"
+)
+
+// A watch that dies, falls silent or is not there while servers begin to drain.
+
+// Where lists are pushed, what the agent has counts as told from the first moment of a process: it is
+// asked at once, though an older list is known, and again at once when it hangs up.
+func TestAPushedListIsAskedForAtOnce(t *testing.T) {
+	var mu sync.Mutex
+	asked := 0
+	var got ran
+	server := peer(t, got.serves)
+	disco := peer(t, func(c net.Conn, r *bufio.Reader) {
+		if head, _ := message(r); head == "" {
+			return
+		}
+		mu.Lock()
+		asked++
+		first := asked == 1
+		mu.Unlock()
+		if first {
+			return // hangs up
+		}
+		answer(c, list(2, true, "terminating", server))
+		message(r)
+	})
+	n, _ := startWith(t, func(cfg *config.Config) {
+		cfg.Settings.AskDiscovery, cfg.Settings.Rules.AskWithin = false, time.Hour
+	}, disco, server)
+	require.Eventually(t, func() bool {
+		c := connect(t, n)
+		c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
+		head, _ := message(c.r)
+		return strings.Contains(head, " 503 ")
+	}, 1500*time.Millisecond, 20*time.Millisecond, "the list that leaves it out is not known")
+}
+
+// An open watch falls silent, and a server begins to drain. What is missed counts as told two seconds after
+// the watch may have waited: by then, and the grace, nothing more is sent there.
+func TestAWatchThatFallsSilentIsOpenedAnew(t *testing.T) {
+	t.Parallel()
+	var got ran
+	server := peer(t, got.serves)
+	var calls atomic.Int32
+	disco := peer(t, func(c net.Conn, r *bufio.Reader) {
+		for head, _ := message(r); head != ""; head, _ = message(r) {
+			if calls.Add(1) > 1 { // the first one is never answered
+				answer(c, list(2, false, "terminating", server))
+				message(r)
+				return
+			}
+		}
+	})
+	n, _ := startWith(t, func(cfg *config.Config) { cfg.Settings.Rules.AskWithin = 40 * time.Second }, disco, server)
+	require.Eventually(t, func() bool { return calls.Load() == 1 }, patience, time.Millisecond)
+	told := time.Now().Add(7 * time.Second)
+	for i := 0; time.Now().Before(told.Add(2 * time.Second)); i++ {
+		id := fmt.Sprint(i)
+		c := connect(t, n)
+		c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 100\r\n\r\n")
+		sent := time.Now()
+		message(c.r)
+		_ = c.Close()
+		require.False(t, got.times(id) > 0 && sent.After(told), "%v after it counts as told", sent.Sub(told))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// An open watch is reset, and a server begins to drain at once: discovery is asked again before the time is
+// over in which a balancer without a watch may go by what it has.
+func TestAWatchThatIsResetIsOpenedAnew(t *testing.T) {
+	t.Parallel()
+	var got ran
+	server := peer(t, got.serves)
+	var calls atomic.Int32
+	disco := peer(t, func(c net.Conn, r *bufio.Reader) {
+		message(r)
+		if calls.Add(1) == 1 {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		answer(c, list(2, false, "terminating", server))
+		message(r)
+	})
+	within := 2 * time.Second
+	n, _ := startWith(t, func(cfg *config.Config) { cfg.Settings.Rules.AskWithin = within }, disco, server)
+	require.Eventually(t, func() bool { return calls.Load() == 2 }, within, time.Millisecond)
+	require.Eventually(t, func() bool {
+		c := connect(t, n)
+		c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
+		head, _ := message(c.r)
+		return strings.Contains(head, " 503 ")
+	}, time.Second, 20*time.Millisecond)
+}
+
+// Lists may come with any white space that JSON allows.
+func TestAnIndentedList(t *testing.T) {
+	var got ran
+	server := peer(t, got.serves)
+	disco := peer(t, func(c net.Conn, r *bufio.Reader) {
+		message(r)
+		var out bytes.Buffer
+		require.NoError(t, json.Indent(&out, []byte(list(2, true, "terminating", server)), "\t", "  "))
+		answer(c, "\r\n"+out.String()+"\n")
+		message(r)
+	})
+	n, _ := start(t, disco, server)
+	require.Eventually(t, func() bool {
+		c := connect(t, n)
+		c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
+		head, _ := message(c.r)
+		return strings.Contains(head, " 503 ")
+	}, patience, 20*time.Millisecond)
+}
