Open a connection for what waits when one in use is closed behind its attempt

Cause: at most eight connections come up at a time to a server; what waits beyond that counts on connections in use. Where those were closed, by a time-out, a cancelling or the server's 'Connection: close', nobody dialled, and the waiting attempts ended as if the server could not be reached. Found by reading. Also: a connection whose attempt is called off before it was written went to the next one, whatever had come on it meanwhile.

Change: dial behind each such close; a connection on which something came is closed instead.

Measured: the new test in upstream fails both ways without it.

--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -320,8 +320,9 @@
 	if c := x.conn; c != nil {
 		c.errand = nil
 		x.conn = nil
-		if c.wrote {
+		if c.wrote || !c.sock.Silent() {
 			c.sock.Close()
+			c.pool.dial()
 		} else {
 			c.pool.release(c)
 		}
@@ -420,6 +421,7 @@
 	// the connection in no state to carry another.
 	if m.Close || !c.parser.Idle() || c.sock.Unsent() > 0 {
 		c.sock.Close()
+		c.pool.dial()
 	} else {
 		c.pool.rest(c)
 	}
