Hear of clients that left and of lists first after any stall, and serve nobody who is gone

Cause: after a stall of the process mail was looked at in the order in which it was read, and time went on first. A request whose client left meanwhile was sent on, or sent from the queue by an answer or a tick in front of its client's end. Silent looked at the mailbox before the kernel: bytes that the poller was moving from one to the other were seen in neither, and a resting connection could be ended over a request that had come. Found by reading; ruled out: a client that leaves while nothing stands still, where its end follows its request at once.

Change: after each stall (40 ms) lists and clients' ends are heard before the rest and before the tick; all that waits in the kernel is read first after 100 ms, twice the protocol's slack. A request of a connection that has ended is not taken. Silent looks in the order in which bytes come, and the poller counts as holding some while it reads.

Measured: WhoHasLeftIsHeardFirstAfterAStall (sock) and AClientLeavesBeforeItsRequestIsLookedAt (node) fail without the change; AClientLeavesTheQueue passes either way. The order in Silent has no test that forces it.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -223,6 +223,9 @@
 		c.plain(http1.StatusBadRequest, reason)
 		return
 	}
+	if c.sock.Gone() { // it left behind its request, which was not looked at sooner
+		return
+	}
 	c.f.last++
 	c.client = c.f.last
 	c.f.waiting[c.client] = c
--- a/internal/serve/node/crossings_test.go
+++ b/internal/serve/node/crossings_test.go
@@ -128,36 +128,78 @@
 	}
 }
 
-// A client leaves while its request waits for room: it is sent on never.
+// standStill keeps the node from looking at anything until the function that it returns is called.
+func standStill(n *Node) (goOn func()) {
+	stopped, on := make(chan struct{}), make(chan struct{})
+	n.engine.Post(func() { close(stopped); <-on })
+	<-stopped
+	return func() { close(on) }
+}
+
+// A client leaves while its request waits for room: it is sent on never, also where the room came and the
+// client left while the process stood still.
 func TestAClientLeavesTheQueue(t *testing.T) {
-	var got ran
-	hold := make(chan struct{})
-	n, _ := start(t, quiet(t), peer(t, func(c net.Conn, r *bufio.Reader) {
-		for head, body := message(r); head != ""; head, body = message(r) {
-			got.add(head)
-			<-hold
-			answer(c, body)
-		}
-	}))
-	var busy []*client
-	for i := range 2 { // a server's bound of this balancer's requests
-		c := connect(t, n)
-		c.send(fmt.Sprintf("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: busy-%d\r\n\r\n", i))
-		busy = append(busy, c)
-		require.Eventually(t, func() bool { return got.times(fmt.Sprint("busy-", i)) == 1 }, patience, time.Millisecond)
+	for _, still := range []bool{false, true} {
+		t.Run(fmt.Sprint("still ", still), func(t *testing.T) {
+			t.Parallel()
+			var got ran
+			hold := make(chan struct{})
+			n, _ := start(t, quiet(t), peer(t, func(c net.Conn, r *bufio.Reader) {
+				for head, body := message(r); head != ""; head, body = message(r) {
+					got.add(head)
+					<-hold
+					answer(c, body)
+				}
+			}))
+			var busy []*client
+			for i := range 2 { // a server's bound of this balancer's requests
+				c := connect(t, n)
+				c.send(fmt.Sprintf("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: busy-%d\r\n\r\n", i))
+				busy = append(busy, c)
+				require.Eventually(t, func() bool { return got.times(fmt.Sprint("busy-", i)) == 1 }, patience, time.Millisecond)
+			}
+			c := connect(t, n)
+			c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: left\r\n\r\n")
+			time.Sleep(30 * time.Millisecond)
+			goOn := func() {}
+			if still {
+				goOn = standStill(n)
+				close(hold)
+				time.Sleep(60 * time.Millisecond)
+			}
+			_ = c.Close()
+			time.Sleep(30 * time.Millisecond)
+			if !still {
+				close(hold)
+			}
+			goOn()
+			for _, c := range busy {
+				head, _ := message(c.r)
+				require.Contains(t, head, "200")
+			}
+			_, body := connect(t, n).ask("POST", "/append", "next", "mine")
+			require.Equal(t, "mine", body)
+			require.Zero(t, got.times("left"))
+		})
 	}
+}
+
+// A client leaves before its request was looked at: it is sent on never.
+func TestAClientLeavesBeforeItsRequestIsLookedAt(t *testing.T) {
+	var got ran
+	n, _ := start(t, quiet(t), peer(t, got.serves))
 	c := connect(t, n)
+	for i := range 2 { // there is a connection to the server, which a request would be written to at once
+		_, body := c.ask("POST", "/append", fmt.Sprint(i), "mine")
+		require.Equal(t, "mine", body)
+	}
+	time.Sleep(50 * time.Millisecond)
+	goOn := standStill(n)
 	c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: left\r\n\r\n")
-	time.Sleep(30 * time.Millisecond)
 	_ = c.Close()
-	time.Sleep(30 * time.Millisecond)
-	close(hold)
-	for _, c := range busy {
-		head, _ := message(c.r)
-		require.Contains(t, head, "200")
-	}
-	_, body := connect(t, n).ask("POST", "/append", "next", "mine")
-	require.Equal(t, "mine", body)
+	time.Sleep(50 * time.Millisecond)
+	goOn()
+	time.Sleep(100 * time.Millisecond)
 	require.Zero(t, got.times("left"))
 }
 
@@ -462,16 +504,11 @@
 	n, _ := start(t, quiet(t), peer(t, got.serves))
 	c := connect(t, n)
 	time.Sleep(100 * time.Millisecond) // it could give way by now
-	stopped, goOn := make(chan struct{}), make(chan struct{})
-	n.engine.Post(func() {
-		close(stopped)
-		<-goOn
-		n.front.Shed()
-	})
-	<-stopped
+	goOn := standStill(n)
+	n.engine.Post(n.front.Shed)
 	c.send("POST /append HTTP/1.1\r\nHost: b\r\nX-Request-Id: 2\r\nContent-Length: 4\r\n\r\nmine")
 	time.Sleep(20 * time.Millisecond)
-	close(goOn)
+	goOn()
 	_, body := message(c.r)
 	require.Equal(t, "mine", body)
 }
--- a/internal/serve/sock/sock.go
+++ b/internal/serve/sock/sock.go
@@ -63,6 +63,7 @@
 	unread  atomic.Int32 // pieces of data on their way to the handler
 	deaf    atomic.Bool  // what still comes is thrown away
 	first   atomic.Bool  // heard before others after a stall
+	over    atomic.Bool  // the peer has ended or broken it, which the handler may not have heard yet
 	dialled bool         // to a server: where its sending ends may say where an answer does
 	closed  bool
 }
@@ -71,19 +72,21 @@
 // late as this.
 const stall = 40 * time.Millisecond
 
-// After a stall of LongStall all that waits in the sockets is read for readFor, and what comes from
-// connections that go first is heard before the rest. Word that a server leaves must not be behind
-// a request that would be sent to it: two seconds are given for that, and they may be over.
+// After a stall what connections that go first say, and that clients have left, is heard before the
+// rest and before time goes on. Word that a server leaves must not be behind a request that would be
+// sent to it: the time given for that may be over. After a stall of LongStall all that waits in the
+// sockets is read for readFor before; the protocol has a slack of half as much on every time limit.
 const (
-	LongStall = time.Second
+	LongStall = 100 * time.Millisecond
 	readFor   = 20 * time.Millisecond
 )
 
 // mail is one thing that has happened: f, or else data on a connection.
 type mail struct {
-	f    func()
-	conn *Conn
-	data *[]byte
+	f     func()
+	conn  *Conn
+	data  *[]byte
+	first bool // of f: heard before others after a stall
 }
 
 // Engine runs the sockets.
@@ -133,10 +136,11 @@
 			err = errUnread
 		}
 		if c, ok := nc.Session().(*Conn); ok {
-			e.Post(func() {
+			c.over.Store(true)
+			e.post(mail{first: !c.dialled, f: func() { // what a server said before its end counts
 				e.release(c)
 				c.ended(err)
-			})
+			}})
 		}
 	})
 	e.nb.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
@@ -166,37 +170,38 @@
 			return
 		}
 		now := time.Now()
-		if gap := now.Sub(looked); gap > stall {
-			guard(func() { e.Stalled(gap) })
-		}
-		long := now.Sub(looked) > LongStall
+		gap := now.Sub(looked)
+		stalled := gap > stall
 		looked = now
-		if long {
-			time.Sleep(readFor)
+		if stalled {
+			guard(func() { e.Stalled(gap) })
 		} else if ticked {
 			guard(tick)
 		}
+		if gap > LongStall {
+			time.Sleep(readFor)
+		}
 		e.mu.Lock()
 		batch, e.mail = e.mail, batch[:0]
 		e.bytes = 0
 		e.mu.Unlock()
 		e.room.Signal()
-		if long { // what one connection said stays in order
+		if stalled { // what one server said stays in order
 			slices.SortStableFunc(batch, func(a, b mail) int { return cmp.Compare(b.rank(), a.rank()) })
 		}
 		for i := range batch {
 			e.serve(batch[i])
 			batch[i] = mail{} // kept until the next batch otherwise
 		}
-		if long {
+		if stalled {
 			guard(tick)
 		}
 	}
 }
 
-// rank is 1 for data of a connection that goes first.
+// rank is 1 for what goes first.
 func (m mail) rank() int {
-	if m.conn != nil && m.conn.first.Load() {
+	if m.first || m.conn != nil && m.conn.first.Load() {
 		return 1
 	}
 	return 0
@@ -236,6 +241,8 @@
 // nothing; its reader closes what sends too much. A client may have a few pieces at a time.
 func (e *Engine) read(nc *nbio.Conn) {
 	c := nc.Session().(*Conn)
+	c.unread.Add(1) // what is read here is neither in the kernel nor in the mailbox
+	defer c.unread.Add(-1)
 	for i := 1; ; i++ {
 		n, err := nc.Read(e.buf)
 		switch {
@@ -276,9 +283,11 @@
 
 // Post has f run on the owning goroutine, after what has come before it. It never
 // blocks and may be called from any goroutine.
-func (e *Engine) Post(f func()) {
+func (e *Engine) Post(f func()) { e.post(mail{f: f}) }
+
+func (e *Engine) post(m mail) {
 	e.mu.Lock()
-	e.mail = append(e.mail, mail{f: f})
+	e.mail = append(e.mail, m)
 	e.mu.Unlock()
 	e.nudge()
 }
@@ -517,10 +526,13 @@
 // Ignore has whatever the peer still sends thrown away as it is read.
 func (c *Conn) Ignore() { c.deaf.Store(true) }
 
-// Silent tells whether nothing from the peer waits to be read: neither on its way
-// to the handler nor in the kernel.
+// Gone tells whether the peer has ended or broken the connection, also where Closed was not called yet.
+func (c *Conn) Gone() bool { return c.over.Load() }
+
+// Silent tells whether nothing from the peer waits to be read: neither in the kernel nor, looked at
+// in the order in which bytes come, on its way to the handler.
 func (c *Conn) Silent() bool {
-	if c.closed || c.unread.Load() > 0 {
+	if c.closed {
 		return false
 	}
 	silent := true
@@ -531,7 +543,7 @@
 			silent = errors.Is(err, syscall.EAGAIN)
 		})
 	}
-	return silent
+	return silent && c.unread.Load() == 0
 }
 
 // Unsent returns how many bytes the kernel has not taken yet.
--- a/internal/serve/sock/sock_test.go
+++ b/internal/serve/sock/sock_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -76,3 +77,66 @@
 		})
 	}
 }
+
+// told is a handler that notes what it hears among what others hear.
+type told struct {
+	mu   *sync.Mutex
+	log  *[]string
+	name string
+}
+
+func (h told) note(what string) { h.mu.Lock(); *h.log = append(*h.log, h.name+what); h.mu.Unlock() }
+func (h told) Data(data []byte) { h.note(" " + string(data)) }
+func (h told) Closed(error)     { h.note(" left") }
+
+// After a stall, that a client has left is heard before what came in front of it, and before time goes on:
+// both may have what waits for room sent on.
+func TestWhoHasLeftIsHeardFirstAfterAStall(t *testing.T) {
+	e, err := New(64)
+	require.NoError(t, err)
+	var mu sync.Mutex
+	var log []string
+	names := []string{"stays", "leaves"}
+	l := e.Clients(func(*Conn) Handler {
+		h := told{&mu, &log, names[0]}
+		names = names[1:]
+		return h
+	})
+	require.NoError(t, l.Listen("127.0.0.1:0"))
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	still, goOn := make(chan struct{}), make(chan struct{})
+	go func() {
+		e.Run(ctx, 5*time.Millisecond, func() {
+			mu.Lock()
+			if len(log) > 0 {
+				log = append(log, "tick")
+			}
+			mu.Unlock()
+		})
+		close(done)
+	}()
+	var peers []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", l.Addr())
+		require.NoError(t, err)
+		peers = append(peers, c)
+		time.Sleep(20 * time.Millisecond) // taken in, in this order
+	}
+	e.Post(func() { close(still); <-goOn })
+	<-still
+	for _, c := range peers {
+		_, err = c.Write([]byte("asks"))
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.NoError(t, peers[1].Close())
+	time.Sleep(20 * time.Millisecond)
+	close(goOn)
+	require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return len(log) > 2 }, 10*time.Second, time.Millisecond)
+	stop()
+	<-done
+	l.Stop()
+	_ = peers[0].Close()
+	require.Equal(t, []string{"leaves left", "stays asks", "tick"}, log[:3])
+}
