Pass the idempotency key on with its request

A server that does not get the key cannot know a repeat.

Change: Idempotency-Key goes on unchanged; a request with two is told 400, for two readers could read it in two ways.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -233,7 +233,7 @@
 		Client: c.client, ID: id, Class: class, Key: key(m.Query("k")), Hint: hint(m.Fields.Get("x-cost-hint")),
 		Deadline: c.f.came() + wait - margin,
 		Message: &upstream.Request{
-			Method: m.Method, Target: m.Target, ID: id,
+			Method: m.Method, Target: m.Target, ID: id, IdempotencyKey: m.Fields.Get("idempotency-key"),
 			ContentType: m.Fields.Get("content-type"), Body: m.Body,
 		},
 	})
@@ -260,13 +260,15 @@
 // waits; the class's own time stands in where that is missing and bounds the rest.
 // What a feed server could not use, or could read in another way, is not passed on.
 func named(m *http1.Message, most time.Duration) (id string, wait time.Duration, reason string) {
-	ids, waits := 0, 0
+	ids, waits, keys := 0, 0, 0
 	wait = most
 	for _, f := range m.Fields {
 		switch f.Name {
 		case "x-request-id":
 			ids++
 			id = f.Value
+		case "idempotency-key":
+			keys++
 		case "x-deadline-ms":
 			waits++
 			ms, err := strconv.ParseUint(f.Value, 10, 64)
@@ -280,8 +282,8 @@
 		}
 	}
 	switch {
-	case ids != 1 || waits > 1:
-		return "", 0, "not one X-Request-Id, or more than one X-Deadline-Ms"
+	case ids != 1 || waits > 1 || keys > 1:
+		return "", 0, "not one X-Request-Id, or more than one X-Deadline-Ms or Idempotency-Key"
 	case id == "" || len(id) > maxID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }):
 		return "", 0, "X-Request-Id is not a name"
 	case m.Method == http1.MethodGet && len(m.Body) > 0:
--- a/internal/serve/node/stories_test.go
+++ b/internal/serve/node/stories_test.go
@@ -155,7 +155,11 @@
 	require.Contains(t, echo, "POST /append/x?k=7f&z=%20 HTTP/1.1\r\n")
 	require.Contains(t, echo, "X-Request-Id: id-1\r\n")
 	require.True(t, strings.HasSuffix(echo, "\r\n\r\npayload"))
+	c.send("POST /append HTTP/1.1\r\nHost: b\r\nX-Request-Id: id-1\r\nidempotency-key: 52247c10\r\nContent-Length: 1\r\n\r\nx")
+	_, echo = message(c.r)
+	require.Contains(t, echo, "Idempotency-Key: 52247c10\r\n", "by this servers know a repeat")
 	_, echo = c.ask("GET", "/read?k=1", "id-1", "") // an id may come again
+	require.NotContains(t, echo, "Idempotency-Key")
 	require.Contains(t, echo, "GET /read?k=1 HTTP/1.1\r\n")
 	for target, want := range map[string]string{"GET /_health": "200", "GET /else": "404", "GET /append": "405", "POST /read": "405"} {
 		method, path, _ := strings.Cut(target, " ")
@@ -438,16 +442,17 @@
 	get, post := "GET /read HTTP/1.1\r\nHost: b\r\n", "POST /append HTTP/1.1\r\nHost: b\r\n"
 	for text, want := range map[string]string{
 		get + "\r\n": "400", // no id
-		get + "X-Request-Id: 1\r\nX-Request-Id: 2\r\n\r\n":                                           "400",
-		get + "X-Request-Id: open\r\n\r\n":                                                           "409",
-		get + "X-Request-Id: 1\r\nX-Deadline-Ms: soon\r\n\r\n":                                       "400",
-		get + "X-Request-Id: 1\r\nX-Deadline-Ms: -5\r\n\r\n":                                         "400",
-		get + "X-Request-Id: 1\r\nContent-Length: 1\r\n\r\nx":                                        "400",
-		get + "X-Request-Id: 1\r\n\r\n" + get + "X-Request-Id: 2\r\n\r\n":                            "400",
-		post + "X-Request-Id: 1\r\n\r\n":                                                             "400",
-		post + "X-Request-Id: 1\r\nContent-Length: 2\r\n\r\nlong":                                    "400",
-		post + "X-Request-Id: 1\r\nContent-Length: -2\r\n\r\nxx":                                     "400",
-		post + "X-Request-Id: 1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": "400",
+		get + "X-Request-Id: 1\r\nX-Request-Id: 2\r\n\r\n":                                                "400",
+		get + "X-Request-Id: open\r\n\r\n":                                                                "409",
+		get + "X-Request-Id: 1\r\nX-Deadline-Ms: soon\r\n\r\n":                                            "400",
+		get + "X-Request-Id: 1\r\nX-Deadline-Ms: -5\r\n\r\n":                                              "400",
+		get + "X-Request-Id: 1\r\nContent-Length: 1\r\n\r\nx":                                             "400",
+		get + "X-Request-Id: 1\r\n\r\n" + get + "X-Request-Id: 2\r\n\r\n":                                 "400",
+		post + "X-Request-Id: 1\r\n\r\n":                                                                  "400",
+		post + "X-Request-Id: 1\r\nIdempotency-Key: 1\r\nIdempotency-Key: 2\r\nContent-Length: 0\r\n\r\n": "400",
+		post + "X-Request-Id: 1\r\nContent-Length: 2\r\n\r\nlong":                                         "400",
+		post + "X-Request-Id: 1\r\nContent-Length: -2\r\n\r\nxx":                                          "400",
+		post + "X-Request-Id: 1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":      "400",
 	} {
 		c := connect(t, n)
 		c.send(text)
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -81,6 +81,7 @@
 // Request is the message of an attempt.
 type Request struct {
 	Method, Target, ID string
+	IdempotencyKey     string // by which servers know a repeat; "": none
 	ContentType        string
 	Body               []byte
 }
@@ -291,6 +292,9 @@
 	if m.ID != "" {
 		fields = append(fields, http1.Field{Name: "X-Request-Id", Value: m.ID})
 	}
+	if m.IdempotencyKey != "" {
+		fields = append(fields, http1.Field{Name: "Idempotency-Key", Value: m.IdempotencyKey})
+	}
 	if m.ContentType != "" {
 		fields = append(fields, http1.Field{Name: "Content-Type", Value: m.ContentType})
 	}
