Force a late reset, and a discovery that returns with a drain, over loopback

A reset 0.6 s after a request has begun, for each effect and on both sides of the window for repeats; discovery down and back with a server that drains, asked and pushed.

--- a/internal/serve/node/crossings_test.go
+++ b/internal/serve/node/crossings_test.go
@@ -527,3 +527,57 @@
 	_ = c.Close()
 	<-done
 }
+
+// A connection is reset long after its request has begun: the request may have run, and its class decides.
+func TestAResetLongAfterARequestHasBegun(t *testing.T) {
+	for name, x := range map[string]struct {
+		effect piernotch.Effect
+		window time.Duration
+		status string
+		runs   int
+	}{
+		"safe":                  {piernotch.Safe, 0, " 200 ", 2},
+		"keyed":                 {piernotch.Keyed, 2 * time.Second, " 200 ", 2},
+		"keyed, window is over": {piernotch.Keyed, 300 * time.Millisecond, " 503 ", 1}, // a repeat by the client does no harm
+		"unsafe":                {piernotch.Unsafe, 0, " 502 ", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var got ran
+			reset := make(chan struct{}, 1)
+			reset <- struct{}{}
+			script := func(c net.Conn, r *bufio.Reader) {
+				for head, body := message(r); head != ""; head, body = message(r) {
+					got.add(head)
+					if strings.Contains(head, "X-Request-Id: long") {
+						select {
+						case <-reset:
+							time.Sleep(600 * time.Millisecond)
+							_ = c.(*net.TCPConn).SetLinger(0)
+							return
+						default:
+						}
+					}
+					answer(c, body)
+				}
+			}
+			n, _ := startWith(t, func(cfg *config.Config) {
+				k := &cfg.Settings.Classes[1]
+				if k.Effect, k.Window = x.effect, x.window; x.effect == piernotch.Safe {
+					k.Name = "look"
+				}
+			}, quiet(t), peer(t, script), peer(t, script))
+			c := connect(t, n)
+			method, target := "POST", "/append"
+			if x.effect == piernotch.Safe {
+				method, target = "GET", "/look"
+			}
+			for i := range 20 { // repeats have a budget, by what is asked; the time that an answer takes is known
+				_, _ = c.ask("GET", "/read", fmt.Sprint("warm-", i), "")
+			}
+			head, _ := c.ask(method, target, "long", "")
+			require.Contains(t, head, x.status)
+			require.Equal(t, x.runs, got.times("long"))
+		})
+	}
+}
--- a/internal/serve/node/watch_test.go
+++ b/internal/serve/node/watch_test.go
@@ -128,3 +128,54 @@
 		return strings.Contains(head, " 503 ")
 	}, patience, 20*time.Millisecond)
 }
+
+// Discovery is down, a server begins to drain, and discovery returns: a balancer that could not ask asks
+// again within the time that the settings give for it.
+func TestDiscoveryReturnsWithADrain(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		t.Run(fmt.Sprint("pushed ", pushed), func(t *testing.T) {
+			t.Parallel()
+			var got ran
+			server := peer(t, got.serves)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			within := 2 * time.Second
+			n, _ := startWith(t, func(cfg *config.Config) {
+				cfg.Settings.AskDiscovery, cfg.Settings.Rules.AskWithin = !pushed, within
+			}, l.Addr().String(), server)
+			time.Sleep(100 * time.Millisecond)
+			require.NoError(t, l.Close()) // whoever asked is reset, whoever asks now is refused
+			time.Sleep(500 * time.Millisecond)
+			_, body := connect(t, n).ask("POST", "/append", "1", "mine")
+			require.Equal(t, "mine", body, "what is known serves meanwhile")
+			l, err = net.Listen("tcp", l.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						r := bufio.NewReader(c)
+						message(r)
+						answer(c, list(2, true, "terminating", server))
+						message(r)
+						_ = c.Close()
+					}()
+				}
+			}()
+			if pushed { // what the agent gets at the return counts at once
+				within = 400 * time.Millisecond
+			}
+			require.Eventually(t, func() bool {
+				c := connect(t, n)
+				defer func() { _ = c.Close() }()
+				c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
+				head, _ := message(c.r)
+				return strings.Contains(head, " 503 ")
+			}, within, 10*time.Millisecond)
+		})
+	}
+}
