Read which tenant a request is of

Change: front finds the tenant by its name among the settings'; one that they do not name has no share, and uses up nobody's.

--- a/internal/serve/core/core.go
+++ b/internal/serve/core/core.go
@@ -46,6 +46,7 @@
 		ID       string // the client's own name for it, unique while it is open
 		Message  any
 		Class    int
+		Tenant   int // its place in the settings; -1: none of them
 		Key      uint64
 		Hint     float64       // ms; NaN: none
 		Deadline time.Duration // the client waits until then
@@ -413,7 +414,7 @@
 	// whatever it has left unanswered even so.
 	r.overdue = c.wheel.At(ev.Deadline+2*Tick, func() { c.overrun(r) })
 	c.balancer.Request(c.now, piernotch.Request{
-		ID: r.id, Class: ev.Class, Key: ev.Key, Deadline: ev.Deadline, Hint: ev.Hint,
+		ID: r.id, Class: ev.Class, Tenant: ev.Tenant, Key: ev.Key, Deadline: ev.Deadline, Hint: ev.Hint,
 	})
 }
 
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -65,6 +65,7 @@
 	ready   func() bool
 	routes  map[string][]core.Route // by name
 	waits   []time.Duration         // the longest of each class
+	tenants []piernotch.Tenant
 	conns   map[*conn]struct{}
 	waiting map[core.Client]*conn
 	last    core.Client
@@ -121,9 +122,9 @@
 }
 
 // Route has requests taken by these names from now on. waits is how long a client of each class
-// may wait at most.
-func (f *Front) Route(routes []core.Route, waits []time.Duration) {
-	f.routes, f.waits = map[string][]core.Route{}, waits
+// may wait at most, and tenants are the customers that requests name.
+func (f *Front) Route(routes []core.Route, waits []time.Duration, tenants []piernotch.Tenant) {
+	f.routes, f.waits, f.tenants = map[string][]core.Route{}, waits, tenants
 	for _, r := range routes {
 		f.routes[r.Name] = append(f.routes[r.Name], r)
 	}
@@ -230,7 +231,7 @@
 	c.client = c.f.last
 	c.f.waiting[c.client] = c
 	c.f.emit(core.Arrived{
-		Client: c.client, ID: id, Class: class, Key: key(m.Query("k")), Hint: hint(m.Fields.Get("x-cost-hint")),
+		Client: c.client, ID: id, Class: class, Tenant: c.f.tenant(m.Fields.Get("x-tenant")), Key: key(m.Query("k")), Hint: hint(m.Fields.Get("x-cost-hint")),
 		Deadline: c.f.came() + wait - margin,
 		Message: &upstream.Request{
 			Method: m.Method, Target: m.Target, ID: id, IdempotencyKey: m.Fields.Get("idempotency-key"),
@@ -256,6 +257,12 @@
 	return class, takes
 }
 
+// tenant is the place of a tenant among the settings', -1 for one that they do not name: it has no share
+// to go beyond, and must not use up another's.
+func (f *Front) tenant(name string) int {
+	return slices.IndexFunc(f.tenants, func(t piernotch.Tenant) bool { return t.Name == name })
+}
+
 // named reads what a request must say of itself: one id, and how long its client
 // waits; the class's own time stands in where that is missing and bounds the rest.
 // What a feed server could not use, or could read in another way, is not passed on.
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -191,7 +191,7 @@
 	for _, c := range n.core.Settings().Classes {
 		waits = append(waits, c.Deadline)
 	}
-	n.front.Route(routes, waits)
+	n.front.Route(routes, waits, n.core.Settings().Tenants)
 }
 
 // Run serves until the context ends or, after Terminate, nothing is owed.
