--- a/internal/serve/sock/sock_test.go
+++ b/internal/serve/sock/sock_test.go
@@ -140,3 +140,35 @@
 	_ = peers[0].Close()
 	require.Equal(t, []string{"leaves left", "stays asks", "tick"}, log[:3])
 }
+
+// What the system holds back for a fuller packet goes with a reset: nothing is held back, either way.
+func TestSmallWritesAreNotHeldBack(t *testing.T) {
+	e, err := New(64)
+	require.NoError(t, err)
+	taken := make(chan *Conn, 2)
+	l := e.Clients(func(c *Conn) Handler { taken <- c; return &heard{end: make(chan error, 1)} })
+	require.NoError(t, l.Listen("127.0.0.1:0"))
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { e.Run(ctx, 5*time.Millisecond, func() {}); close(done) }()
+	up := make(chan error, 1)
+	e.Dial(l.Addr(), time.Second, func(c *Conn) Handler { taken <- c; return &heard{end: make(chan error, 1)} },
+		func(_ *Conn, err error) { up <- err })
+	require.NoError(t, <-up)
+	for range 2 {
+		c, noDelay := <-taken, make(chan int, 1)
+		e.Post(func() {
+			raw, err := c.nb.SyscallConn()
+			if err == nil {
+				_ = raw.Control(func(fd uintptr) {
+					on, _ := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+					noDelay <- on
+				})
+			}
+		})
+		require.NotZero(t, <-noDelay)
+	}
+	stop()
+	<-done
+	l.Stop()
+}
