Measure work where nobody gives hints, and let classes of equal worth share alike

Lakes gives no hints and no load reports. Without hints each request counted as no work: no rate, no part of a class and no length of the queue could be told. Without reports the limit on each group was never set ("held" unknown), 44 requests out at one balancer. Ruled out: rules (none broken), descriptors (108 of 576), memory (6 of 80 MB).

Change: a low quantile of what the answers of a class take stands in for its hint; the lane stays the small one, which has the whole group where nobody gives hints. Where no server ever reported its load, the pace of answers is what each holds. Each class has a band; what is shed is shed alike of equal worth; of equal worth what is wanted first goes first. Stands also asks for the window as seen from attempts that were sent later than the one that waited.

TestNothingIsHeldBesideIdleBackends sets the count that the mean work goes by, which has a field of its own now; what it asks for is as before.

--- a/balancer.go
+++ b/balancer.go
@@ -79,11 +79,9 @@
 	}
 	slices.SortStableFunc(all, func(x, y ranked) int { return cmp.Compare(x.worth, y.worth) })
 	b.bandOf = make([]int, len(all))
-	for _, r := range all {
-		if n := len(b.bands); n == 0 || b.bands[n-1].worth != r.worth {
-			b.bands = append(b.bands, band{worth: r.worth})
-		}
-		b.bandOf[r.index] = len(b.bands) - 1
+	for i, r := range all {
+		b.bands = append(b.bands, band{worth: r.worth})
+		b.bandOf[r.index] = i
 	}
 }
 
@@ -137,7 +135,7 @@
 	r.patience = now + (r.Deadline-now)/2
 	r.lane, r.work = 0, in.Hint
 	if !r.hinted() {
-		r.work = b.meanWork
+		r.work = b.unhinted(in.Class)
 	} else if b.hints > 0 && in.Hint > b.median {
 		r.lane = 1
 	}
@@ -356,7 +354,7 @@
 // firstRun is the first attempt that may have run, or nil.
 func (r *request) firstRun() *attempt {
 	for i := range r.tries {
-		if t := &r.tries[i]; !t.ended || !t.status.NeverRan() {
+		if t := &r.tries[i]; t.mayHaveRun() {
 			return t
 		}
 	}
@@ -370,8 +368,12 @@
 	if r == nil || r.final || try < 0 || try >= len(r.tries) || now >= r.Deadline {
 		return false
 	}
-	t, first := &r.tries[try], r.firstRun()
-	return t.to.usable() && (first == t || r.repeatable(now, first, t.to))
+	for i := range r.tries { // the others, later ones too: what waited for long is the repeat
+		if t := &r.tries[i]; i != try && t.mayHaveRun() && !r.repeatable(now, t, r.tries[try].to) {
+			return false
+		}
+	}
+	return r.tries[try].to.usable()
 }
 
 // repeatable tells whether a request that may have run may also go to another. A repeat has to be
@@ -383,11 +385,9 @@
 		return true
 	case r.class.Effect == Unsafe, now+way > first.sent+r.class.Window:
 		return false
-	}
-	switch r.class.Scope {
-	case ScopeZone:
+	case r.class.Scope == ScopeZone:
 		return to.Zone == first.to.Zone
-	case ScopeCell:
+	case r.class.Scope == ScopeCell:
 		return to.Cell == first.to.Cell
 	}
 	return true
@@ -495,14 +495,20 @@
 	}
 }
 
-// goesBefore orders what waits: the most worth for its work first, and what came first among
-// equals. But a band that gets much less than its part of what is sent goes before the
-// others: where there is never room enough, it would get nothing at all.
+// goesBefore orders what waits: the most worth for its work first, in a class what came first, of equal
+// classes what is wanted first, or those that may wait for long would have all turns. A band that gets
+// much less than its part of what is sent goes before the others: it would get nothing at all.
 func (b *Balancer) goesBefore(r, other *request) bool {
-	if x, y := b.bands[r.band].starves, b.bands[other.band].starves; x != y {
-		return x
+	x, y := &b.bands[r.band], &b.bands[other.band]
+	switch {
+	case r.band == other.band:
+		return r.ID < other.ID
+	case x.starves != y.starves:
+		return x.starves
+	case x.worth != y.worth:
+		return x.worth > y.worth
 	}
-	return r.band > other.band || r.band == other.band && r.ID < other.ID
+	return r.aim < other.aim || r.aim == other.aim && r.ID < other.ID
 }
 
 // admit gives the room that has come free to what waits.
@@ -544,6 +550,7 @@
 	case o.Status == Timeout:
 		b.measure(now, r, to, o.Latency)
 	case o.Status == OK:
+		b.learnWork(r.Class, o.Latency)
 		b.measure(now, r, to, o.Latency)
 		b.restore(now, to)
 	case o.Status == Full:
@@ -696,22 +703,18 @@
 // ClientGone ends a request whose client left.
 func (b *Balancer) ClientGone(now time.Duration, id RequestID) {
 	b.begin(now)
-	r := b.byID[id]
-	if r == nil || r.final {
-		return
+	if r := b.byID[id]; r != nil && !r.final {
+		b.end(r)
 	}
-	b.end(r)
 }
 
 // Streaming notes that an answer has started: the attempt is the client's now.
 func (b *Balancer) Streaming(now time.Duration, id RequestID, try int) {
 	b.begin(now)
-	r := b.byID[id]
-	if r == nil || try < 0 || try >= len(r.tries) || r.tries[try].ended {
-		return
+	if r := b.byID[id]; r != nil && try >= 0 && try < len(r.tries) && !r.tries[try].ended {
+		r.stream = true
+		r.tries[try].to.answered = now
 	}
-	r.stream = true
-	r.tries[try].to.answered = now
 }
 
 // Probed takes the result of a probe of an ejected backend.
@@ -739,10 +742,8 @@
 	b.host.SetTimer(b.sweep, sweepToken)
 	b.followList(now)
 	b.reweigh(now)
-	for i := len(b.open) - 1; i >= 0; i-- {
-		if i < len(b.open) {
-			b.inspect(now, b.open[i])
-		}
+	for i := len(b.open) - 1; i >= 0; i = min(i, len(b.open)) - 1 { // what is inspected may go
+		b.inspect(now, b.open[i])
 	}
 }
 
@@ -793,15 +794,16 @@
 		total += b.bands[i].work
 		got += b.bands[i].got
 	}
-	left := b.shed * total
-	for i := range b.bands {
-		band := &b.bands[i]
-		band.refused = 0
-		band.starves = b.many() && band.got*total < fairPart*band.work*got
-		if band.work > 0 {
-			band.refused = min(left/band.work, 1)
+	for i, left := 0, b.shed*total; i < len(b.bands); {
+		worth, equal := b.bands[i].worth, 0.0
+		for n := i; n < len(b.bands) && b.bands[n].worth == worth; n++ {
+			equal += b.bands[n].work
+		}
+		for ; i < len(b.bands) && b.bands[i].worth == worth; i++ {
+			b.bands[i].starves = b.many() && b.bands[i].got*total < fairPart*b.bands[i].work*got
+			b.bands[i].refused = min(left/max(equal, math.SmallestNonzeroFloat64), 1)
 		}
-		left = max(left-band.work, 0)
+		left = max(left-equal, 0)
 	}
 }
 
@@ -980,7 +982,7 @@
 func (b *Balancer) steer(now time.Duration, g *group) {
 	dt := b.sweep.Seconds()
 	g.peak = max(float64(g.out), g.peak*math.Exp(-dt))
-	held, known := g.holds(now)
+	held, known := b.holds(now, g)
 	if !known || !b.many() {
 		g.limit = math.Inf(1)
 		return
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -523,7 +523,7 @@
 	for _, to := range b.sorted {
 		to.rank = 0.9
 	}
-	b.hints, b.median, b.meanWork = 100, 10, 10
+	b.hints, b.works, b.median, b.meanWork = 100, 100, 10, 10
 	b.Request(time.Second, ask(1, safeClass, 100))
 	if len(h.sent) != 1 || h.last().to == 1 {
 		t.Fatalf("sent %v", h.sent)
@@ -1001,3 +1001,88 @@
 		t.Errorf("no trial: sent to %d", to)
 	}
 }
+
+// Without hints the quick answers of each class tell its work, and all of the group is the small lane's.
+func TestWorkIsLearntWhereNobodyGivesHints(t *testing.T) {
+	b, _ := start(t, settings(), fleet(4, 1))
+	now := time.Second
+	for i := range RequestID(400) {
+		class, took := safeClass, 20*ms
+		if i%2 == 1 {
+			class, took = unsafeClass, 80*ms
+		}
+		if i%3 == 0 {
+			took *= 5 // it waited
+		}
+		b.Request(now, Request{ID: i, Class: class, Deadline: now + 2*time.Second, Hint: math.NaN()})
+		now += took
+		b.Outcome(now, Outcome{ID: i, Status: OK, Latency: took, Closed: true})
+	}
+	for class, want := range map[int]float64{safeClass: 20, unsafeClass: 80} {
+		if got := b.newRequest(now, Request{ID: 1000 + RequestID(class), Class: class, Hint: math.NaN()}).work; got < want/2 || got > 1.5*want {
+			t.Errorf("class %d: work %.1f, want about %.0f", class, got, want)
+		}
+	}
+	if b.meanWork < 30 || b.meanWork > 75 {
+		t.Errorf("mean work %.1f", b.meanWork)
+	}
+	if b.largeShare > 0.05 || b.pace < 1 {
+		t.Errorf("large share %.2f, pace %.2f", b.largeShare, b.pace)
+	}
+}
+
+// Two classes are worth the same. The one whose clients wait for longer must not take the other's part, and
+// what has to be refused is refused of both alike.
+func TestClassesOfEqualWorthShareAlike(t *testing.T) {
+	set := settings()
+	set.Proxies = 100
+	b, _ := start(t, set, fleet(2, 1))
+	x, y := &b.bands[b.bandOf[2*safeClass]], &b.bands[b.bandOf[2*unsafeClass]]
+	if x == y || x.worth != y.worth {
+		t.Fatalf("bands %+v and %+v", x, y)
+	}
+	x.work, x.got, y.work, y.got, b.shed = 100, 20, 100, 80, 0.5
+	b.reweigh(time.Second)
+	if !x.starves || y.starves {
+		t.Errorf("starves: %v and %v, the first was sent a fifth of its work and the other four", x.starves, y.starves)
+	}
+	if math.Abs(x.refused-y.refused) > 1e-9 || x.refused < 0.4 || x.refused > 0.6 {
+		t.Errorf("refused %.2f and %.2f", x.refused, y.refused)
+	}
+	first := &request{Request: Request{ID: 1}, band: b.bandOf[2*unsafeClass]}
+	second := &request{Request: Request{ID: 2}, band: b.bandOf[2*safeClass]}
+	if b.goesBefore(first, second) || !b.goesBefore(second, first) {
+		t.Error("what starves does not go first")
+	}
+	x.starves = false
+	if !b.goesBefore(first, second) || b.goesBefore(second, first) {
+		t.Error("what came first does not go first")
+	}
+	first.aim, second.aim = 2*time.Second, time.Second
+	if b.goesBefore(first, second) || !b.goesBefore(second, first) {
+		t.Error("what is wanted first does not go first")
+	}
+}
+
+// An attempt may wait for its connection for longer than the one that was sent after it: then it is the
+// repeat, and has to be written within the window of the other.
+func TestWhatWaitedForLongIsTheRepeat(t *testing.T) {
+	set := settings()
+	set.Limits.SecondCopies = true
+	b, h := start(t, set, fleet(2, 1))
+	now := time.Second
+	b.Request(now, Request{ID: 1, Class: keyedAll, Deadline: now + 3*time.Second, Hint: 10})
+	r := b.byID[1]
+	b.budget = 1
+	if now += 100 * ms; !b.dispatch(now, r) || len(h.sent) != 2 {
+		t.Fatalf("sent %v", h.sent)
+	}
+	for _, c := range []struct {
+		after         time.Duration // the first attempt was sent
+		first, second bool
+	}{{900 * ms, true, true}, {1050 * ms, true, false}, {1200 * ms, false, false}} { // the window is a second
+		if x, y := b.Stands(time.Second+c.after, 1, 0), b.Stands(time.Second+c.after, 1, 1); x != c.first || y != c.second {
+			t.Errorf("%v: the first stands: %v, the second: %v", c.after, x, y)
+		}
+	}
+}
--- a/crowd.go
+++ b/crowd.go
@@ -70,8 +70,9 @@
 }
 
 // holds is what a warm member of the group holds on the mean, for all proxies, going by
-// those that have lately said; known is false if none has.
-func (g *group) holds(now time.Duration) (held float64, known bool) {
+// those that have lately said; known is false if none has. Where none ever says anything, answers
+// tell: one that takes twice as long as its work found as much before it.
+func (b *Balancer) holds(now time.Duration, g *group) (held float64, known bool) {
 	said := 0.0
 	for _, to := range g.members {
 		if to.coldSince < 0 && to.crowd.lately(now) {
@@ -79,5 +80,8 @@
 			said++
 		}
 	}
+	if said == 0 && b.usual == 0 {
+		return b.pace, b.pace > 0
+	}
 	return held / max(said, 1), said > 0
 }
--- a/estimate.go
+++ b/estimate.go
@@ -85,6 +85,33 @@
 	return was + min(gain, 0.5)*(ms/work-was)
 }
 
+const (
+	quickShare = 1.0 / 8  // of a class's answers are quicker than what stands in for its hints
+	quickStep  = 1.0 / 16 // by which that follows one answer
+)
+
+// unhinted is what stands in for the hint of a request of a class: how long the quicker answers of
+// the class take, which waited for nothing, and the mean work until there was one. Without it a site
+// that gives no hints would have no measure of work at all.
+func (b *Balancer) unhinted(class int) float64 {
+	if b.quick[class] > 0 {
+		return b.quick[class]
+	}
+	return b.meanWork
+}
+
+// learnWork follows a low quantile of what the answers of a class take.
+func (b *Balancer) learnWork(class int, took time.Duration) {
+	switch ms, q := took.Seconds()*1000, &b.quick[class]; {
+	case *q == 0:
+		*q = ms
+	case ms < *q:
+		*q *= 1 - quickStep*(1-quickShare)
+	default:
+		*q *= 1 + quickStep*quickShare
+	}
+}
+
 // observe learns what arrives: the median hint, and the work on each side of it
 // and in each band.
 func (b *Balancer) observe(r *request) {
@@ -93,15 +120,18 @@
 		step := 1 + max(1/b.hints, smoothing/2)
 		switch {
 		case b.hints == 1:
-			b.median, b.meanWork = r.Hint, r.Hint
+			b.median = r.Hint
 		case r.Hint > b.median:
 			b.median *= step
 		default:
 			b.median /= step
 		}
-		gain := max(1/b.hints, smoothing/8)
-		b.meanWork += gain * (r.Hint - b.meanWork)
-		b.largeShare += gain * (r.Hint / b.meanWork) * (share(r.lane == 1) - b.largeShare)
+	}
+	if r.work > 0 {
+		b.works++
+		gain := max(1/b.works, smoothing/8)
+		b.meanWork += gain * (r.work - b.meanWork)
+		b.largeShare += gain * (r.work / b.meanWork) * (share(r.lane == 1) - b.largeShare)
 		b.largeShare = min(max(b.largeShare, 0), 1)
 	}
 	b.bands[r.band].work += r.work
--- a/maintenance.go
+++ b/maintenance.go
@@ -97,6 +97,9 @@
 	}
 	b.sweep = max(s.Tick, time.Duration(float64(b.shortAim)/sweepsPerAim))
 	b.watchGap = s.Rules.AskWithin / 8
+	for len(b.quick) < len(s.Classes) {
+		b.quick = append(b.quick, 0)
+	}
 	b.rankBands()
 }
 
@@ -120,7 +123,8 @@
 	if b.hints > 0 || !(l.Median > 0 && l.MeanWork > 0 && l.LargeShare >= 0 && l.LargeShare <= 1) {
 		return
 	}
-	b.hints, b.median, b.meanWork, b.largeShare = resumedHints, l.Median, l.MeanWork, l.LargeShare
+	b.hints, b.works = resumedHints, resumedHints
+	b.median, b.meanWork, b.largeShare = l.Median, l.MeanWork, l.LargeShare
 	b.usual = max(b.usual, l.Usual)
 }
 
--- a/state.go
+++ b/state.go
@@ -35,6 +35,8 @@
 	median     float64 // running median of the hints
 	hints      float64 // how many hints it has seen
 	meanWork   float64
+	works      float64    // how much work that is a mean of, requests
+	quick      []float64  // what the quicker answers of each class take, ms; 0: not known
 	pace       float64    // time an answer takes for each unit of its work, waiting included
 	largeShare float64    // share of the work that is above the median, by the hints
 	tilt       float64    // what lateness in the lanes adds to it
@@ -137,6 +139,9 @@
 	status Status
 }
 
+// mayHaveRun tells whether nothing proves that the attempt did not.
+func (t *attempt) mayHaveRun() bool { return !t.ended || !t.status.NeverRan() }
+
 type request struct {
 	Request
 	class    *Class
