--- a/internal/serve/node/crossings_test.go
+++ b/internal/serve/node/crossings_test.go
@@ -582,7 +582,6 @@
 	}
 }
 
-
 // What a tenant sends beyond its share waits behind what others send within theirs, whoever came first.
 func TestEachTenantHasItsOwnShare(t *testing.T) {
 	asked, release := make(chan string, 8), make(chan struct{})
