Rank classes by worth for their work where worth counts by request

Cause: the settings say worth_by: work on addis, request on lakes and turkana.

Change: a band's value is its worth, and where worth counts by request, worth for the work that the quick answers of its class tell. Bands are no longer sorted: two of each class, in the order of classes. Of equal value what came first goes first again.

--- a/balancer.go
+++ b/balancer.go
@@ -66,22 +66,22 @@
 	return b, nil
 }
 
-// rankBands orders what may have to be refused, least worth for its work first.
+// rankBands makes two bands of each class: within its tenants' shares and beyond them.
 func (b *Balancer) rankBands() {
-	type ranked struct {
-		worth float64
-		index int
-	}
-	var all []ranked
 	b.bands = nil
-	for i, c := range b.set.Classes {
-		all = append(all, ranked{c.Worth, 2 * i}, ranked{c.Worth * b.set.OverShareWorth, 2*i + 1})
+	for _, c := range b.set.Classes {
+		b.bands = append(b.bands, band{worth: c.Worth}, band{worth: c.Worth * b.set.OverShareWorth})
 	}
-	slices.SortStableFunc(all, func(x, y ranked) int { return cmp.Compare(x.worth, y.worth) })
-	b.bandOf = make([]int, len(all))
-	for i, r := range all {
-		b.bands = append(b.bands, band{worth: r.worth})
-		b.bandOf[r.index] = i
+	b.value()
+}
+
+// value is what each band is worth for its work. Where worth counts by request, light ones go first.
+func (b *Balancer) value() {
+	for i := range b.bands {
+		b.bands[i].value = b.bands[i].worth
+		if work := b.unhinted(i / 2); b.set.WorthByRequest && work > 0 {
+			b.bands[i].value /= work
+		}
 	}
 }
 
@@ -139,9 +139,9 @@
 	} else if b.hints > 0 && in.Hint > b.median {
 		r.lane = 1
 	}
-	r.band = b.bandOf[2*in.Class]
+	r.band = 2 * in.Class
 	if r.over = b.beyondQuota(now, in.Tenant); r.over {
-		r.band = b.bandOf[2*in.Class+1]
+		r.band++
 	}
 	b.open = append(b.open, r)
 	b.byID[in.ID] = r
@@ -495,20 +495,15 @@
 	}
 }
 
-// goesBefore orders what waits: the most worth for its work first, in a class what came first, of equal
-// classes what is wanted first, or those that may wait for long would have all turns. A band that gets
-// much less than its part of what is sent goes before the others: it would get nothing at all.
+// goesBefore orders what waits: the most worth for its work first, and what came first among
+// equals. But a band that gets much less than its part of what is sent goes before the
+// others: where there is never room enough, it would get nothing at all.
 func (b *Balancer) goesBefore(r, other *request) bool {
 	x, y := &b.bands[r.band], &b.bands[other.band]
-	switch {
-	case r.band == other.band:
-		return r.ID < other.ID
-	case x.starves != y.starves:
+	if x.starves != y.starves {
 		return x.starves
-	case x.worth != y.worth:
-		return x.worth > y.worth
 	}
-	return r.aim < other.aim || r.aim == other.aim && r.ID < other.ID
+	return x.value > y.value || x.value == y.value && r.ID < other.ID
 }
 
 // admit gives the room that has come free to what waits.
@@ -794,16 +789,21 @@
 		total += b.bands[i].work
 		got += b.bands[i].got
 	}
-	for i, left := 0, b.shed*total; i < len(b.bands); {
-		worth, equal := b.bands[i].worth, 0.0
-		for n := i; n < len(b.bands) && b.bands[n].worth == worth; n++ {
-			equal += b.bands[n].work
+	b.value()
+	for i := range b.bands {
+		band, less, equal := &b.bands[i], 0.0, 0.0 // what is refused before it, and beside it
+		for _, other := range b.bands {
+			switch {
+			case other.value < band.value:
+				less += other.work
+			case other.value == band.value:
+				equal += other.work
+			}
 		}
-		for ; i < len(b.bands) && b.bands[i].worth == worth; i++ {
-			b.bands[i].starves = b.many() && b.bands[i].got*total < fairPart*b.bands[i].work*got
-			b.bands[i].refused = min(left/max(equal, math.SmallestNonzeroFloat64), 1)
+		band.starves = b.many() && band.got*total < fairPart*band.work*got
+		if band.refused = 0; equal > 0 {
+			band.refused = min(max(b.shed*total-less, 0)/equal, 1)
 		}
-		left = max(left-equal, 0)
 	}
 }
 
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -55,6 +55,7 @@
 		How     string   `json:"how"`
 	} `json:"report"`
 	OverShareWorth float64 `json:"over_share_worth"`
+	WorthBy        string  `json:"worth_by"`
 }
 
 var effects = map[string]piernotch.Effect{
@@ -89,6 +90,7 @@
 			OverloadFor: Duration(in.Rules.OverloadMS),
 		},
 		OverShareWorth: in.OverShareWorth,
+		WorthByRequest: in.WorthBy == "request",
 	}
 	for i, c := range in.Classes {
 		effect, ok := effects[c.Effect]
--- a/maintenance.go
+++ b/maintenance.go
@@ -65,13 +65,6 @@
 			to.failing, to.sent = append(to.failing, 0), append(to.sent, 0)
 		}
 	}
-	for _, r := range b.open { // bands are numbered anew
-		over := 0
-		if r.over {
-			over = 1
-		}
-		r.band = b.bandOf[2*r.Class+over]
-	}
 	return nil
 }
 
--- a/piernotch.go
+++ b/piernotch.go
@@ -90,6 +90,7 @@
 	Limits         Limits
 	Rules          Rules
 	OverShareWorth float64 // worth of a request beyond its tenant's share
+	WorthByRequest bool    // a heavy request is worth no more than a light one of its class
 }
 
 // State is what the list says of a backend.
--- a/state.go
+++ b/state.go
@@ -44,8 +44,7 @@
 	laneLate   [2]float64 // share of late answers in each lane
 	shed       float64    // share of the work, least worth first, that is refused
 	controlled time.Duration
-	bands      []band // classes within and beyond quota, least worth first
-	bandOf     []int  // class*2 (+1 beyond quota) -> index into bands
+	bands      []band // two of each class: within its tenants' shares and beyond
 	quota      []bucket
 
 	paths    map[int]*path // by zone
@@ -61,6 +60,7 @@
 // band is requests of one class, within or beyond their tenants' shares.
 type band struct {
 	worth   float64
+	value   float64 // for its work
 	work    float64 // recent work, decaying
 	refused float64 // share of it to refuse
 	got     float64 // what of it was sent, decaying
