--- a/internal/serve/node/stories_test.go
+++ b/internal/serve/node/stories_test.go
@@ -22,7 +22,11 @@
 
 // peer is a scripted server: it hands each connection to its script.
 func peer(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return peerAt(t, "127.0.0.1:0", script)
+}
+
+func peerAt(t *testing.T, address string, script func(c net.Conn, r *bufio.Reader)) string {
+	l, err := net.Listen("tcp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
--- a/internal/serve/node/watch_test.go
+++ b/internal/serve/node/watch_test.go
@@ -19,6 +19,17 @@
 
 // A watch that dies, falls silent or is not there while servers begin to drain.
 
+// refuses tells whether the node has no server to send a request to.
+func refuses(t *testing.T, n *Node) func() bool {
+	return func() bool {
+		c := connect(t, n)
+		defer func() { _ = c.Close() }()
+		c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
+		head, _ := message(c.r)
+		return strings.Contains(head, " 503 ")
+	}
+}
+
 // Where lists are pushed, what the agent has counts as told from the first moment of a process: it is
 // asked at once, though an older list is known, and again at once when it hangs up.
 func TestAPushedListIsAskedForAtOnce(t *testing.T) {
@@ -43,12 +54,7 @@
 	n, _ := startWith(t, func(cfg *config.Config) {
 		cfg.Settings.AskDiscovery, cfg.Settings.Rules.AskWithin = false, time.Hour
 	}, disco, server)
-	require.Eventually(t, func() bool {
-		c := connect(t, n)
-		c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
-		head, _ := message(c.r)
-		return strings.Contains(head, " 503 ")
-	}, 1500*time.Millisecond, 20*time.Millisecond, "the list that leaves it out is not known")
+	require.Eventually(t, refuses(t, n), 1500*time.Millisecond, 20*time.Millisecond, "the list that leaves it out is not known")
 }
 
 // An open watch falls silent, and a server begins to drain. What is missed counts as told two seconds after
@@ -101,12 +107,7 @@
 	within := 2 * time.Second
 	n, _ := startWith(t, func(cfg *config.Config) { cfg.Settings.Rules.AskWithin = within }, disco, server)
 	require.Eventually(t, func() bool { return calls.Load() == 2 }, within, time.Millisecond)
-	require.Eventually(t, func() bool {
-		c := connect(t, n)
-		c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
-		head, _ := message(c.r)
-		return strings.Contains(head, " 503 ")
-	}, time.Second, 20*time.Millisecond)
+	require.Eventually(t, refuses(t, n), time.Second, 20*time.Millisecond)
 }
 
 // Lists may come with any white space that JSON allows.
@@ -121,12 +122,7 @@
 		message(r)
 	})
 	n, _ := start(t, disco, server)
-	require.Eventually(t, func() bool {
-		c := connect(t, n)
-		c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
-		head, _ := message(c.r)
-		return strings.Contains(head, " 503 ")
-	}, patience, 20*time.Millisecond)
+	require.Eventually(t, refuses(t, n), patience, 20*time.Millisecond)
 }
 
 // Discovery is down, a server begins to drain, and discovery returns: a balancer that could not ask asks
@@ -148,34 +144,15 @@
 			time.Sleep(500 * time.Millisecond)
 			_, body := connect(t, n).ask("POST", "/append", "1", "mine")
 			require.Equal(t, "mine", body, "what is known serves meanwhile")
-			l, err = net.Listen("tcp", l.Addr().String())
-			require.NoError(t, err)
-			t.Cleanup(func() { _ = l.Close() })
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						r := bufio.NewReader(c)
-						message(r)
-						answer(c, list(2, true, "terminating", server))
-						message(r)
-						_ = c.Close()
-					}()
-				}
-			}()
+			peerAt(t, l.Addr().String(), func(c net.Conn, r *bufio.Reader) {
+				message(r)
+				answer(c, list(2, true, "terminating", server))
+				message(r)
+			})
 			if pushed { // what the agent gets at the return counts at once
 				within = 400 * time.Millisecond
 			}
-			require.Eventually(t, func() bool {
-				c := connect(t, n)
-				defer func() { _ = c.Close() }()
-				c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n")
-				head, _ := message(c.r)
-				return strings.Contains(head, " 503 ")
-			}, within, 10*time.Millisecond)
+			require.Eventually(t, refuses(t, n), within, 10*time.Millisecond)
 		})
 	}
 }
