Let the poller see a new connection's fields by the lock, and set nbio's table once

Since today read and OnClose touch a connection before the lock that made its fields visible to the poller; and New writes nbio's globals again for each engine, which stories that run side by side do. Ruled out: the module and front, whose tests race nowhere.

Change: read and OnClose take the lock first; the table is set under a lock of its own, and only when it has to grow.

--- a/internal/serve/sock/sock.go
+++ b/internal/serve/sock/sock.go
@@ -110,13 +110,28 @@
 	budget  atomic.Int64
 }
 
+var prepared struct {
+	sync.Mutex
+	most int
+}
+
+// prepare sets what nbio has for all engines of a process. It keeps a table by descriptor number and
+// refuses what lies beyond it; the budget is kept here, the table only has to be large enough.
+func prepare(sockets int) {
+	prepared.Lock()
+	defer prepared.Unlock()
+	if prepared.most == 0 {
+		logging.SetLevel(logging.LevelNone) // what matters of nbio's log is logged here
+	}
+	if most := max(4*sockets, 1<<14); most > prepared.most {
+		prepared.most, nbio.MaxOpenFiles = most, most
+	}
+}
+
 // New starts an engine that holds at most sockets descriptors, those of listeners of their own
 // count not included.
 func New(sockets int) (*Engine, error) {
-	logging.SetLevel(logging.LevelNone) // what matters of nbio's log is logged here
-	// nbio keeps a table by descriptor number and refuses what lies beyond it.
-	// The budget is kept here; the table only has to be large enough.
-	nbio.MaxOpenFiles = max(4*sockets, 1<<14)
+	prepare(sockets)
 	e := &Engine{
 		wake: make(chan struct{}, 1), buf: make([]byte, readSize), Shed: func(bool) {}, Stalled: func(time.Duration) {},
 		buffers: sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }},
@@ -136,7 +151,9 @@
 			err = errUnread
 		}
 		if c, ok := nc.Session().(*Conn); ok {
+			e.mu.Lock() // as in read
 			c.over.Store(true)
+			e.mu.Unlock()
 			e.post(mail{first: !c.dialled, f: func() { // what a server said before its end counts
 				e.release(c)
 				c.ended(err)
@@ -217,8 +234,7 @@
 	e.buffers.Put(m.data)
 }
 
-// arrived takes what the poller has read, whose buffer it uses again. The lock is
-// also what makes a new connection's fields visible to the poller.
+// arrived takes what the poller has read, whose buffer it uses again.
 func (e *Engine) arrived(c *Conn, data []byte) {
 	e.mu.Lock()
 	for e.bytes > mostMail {
@@ -241,7 +257,9 @@
 // nothing; its reader closes what sends too much. A client may have a few pieces at a time.
 func (e *Engine) read(nc *nbio.Conn) {
 	c := nc.Session().(*Conn)
+	e.mu.Lock()     // which makes a new connection's fields visible here
 	c.unread.Add(1) // what is read here is neither in the kernel nor in the mailbox
+	e.mu.Unlock()
 	defer c.unread.Add(-1)
 	for i := 1; ; i++ {
 		n, err := nc.Read(e.buf)
