Call an attempt off in one place, and close a connection in use in one

A request's 'over' had only been read where bands were numbered anew, which went; rankBands no longer ranks.

Change: core.callOff serves Cancel, what is over and what no longer stands; upstream's conn.close serves the three closes; connected asks Stands alone; 'over' is gone; rankBands is makeBands. Nothing is decided otherwise; no test was touched.

--- a/balancer.go
+++ b/balancer.go
@@ -66,8 +66,8 @@
 	return b, nil
 }
 
-// rankBands makes two bands of each class: within its tenants' shares and beyond them.
-func (b *Balancer) rankBands() {
+// makeBands makes two bands of each class: within its tenants' shares and beyond them.
+func (b *Balancer) makeBands() {
 	b.bands = nil
 	for _, c := range b.set.Classes {
 		b.bands = append(b.bands, band{worth: c.Worth}, band{worth: c.Worth * b.set.OverShareWorth})
@@ -140,7 +140,7 @@
 		r.lane = 1
 	}
 	r.band = 2 * in.Class
-	if r.over = b.beyondQuota(now, in.Tenant); r.over {
+	if b.beyondQuota(now, in.Tenant) {
 		r.band++
 	}
 	b.open = append(b.open, r)
--- a/internal/serve/core/core.go
+++ b/internal/serve/core/core.go
@@ -440,17 +440,17 @@
 	delete(c.ids, r.name)
 	for n, a := range r.tries {
 		if !a.ended && !a.written {
-			c.void(r, n)
+			c.callOff(r, n, piernotch.Moot)
 		}
 	}
 }
 
-// void ends an attempt that is not to be written.
-func (c *Core) void(r *request, n int) {
+// callOff ends the wait for an attempt, of which the module hears after its present call.
+func (c *Core) callOff(r *request, n int, status piernotch.Status) {
 	c.do(Drop{Ref{r.id, n}})
 	c.pending = append(c.pending, func() {
 		if !r.tries[n].ended {
-			c.ended(r, n, piernotch.Moot, nil)
+			c.ended(r, n, status, nil)
 		}
 	})
 }
@@ -498,8 +498,8 @@
 	if a == nil || a.written {
 		return
 	}
-	if r.answered || a.to.state != piernotch.Ready || !c.balancer.Stands(c.now, ref.ID, ref.Attempt) {
-		c.void(r, ref.Attempt)
+	if !c.balancer.Stands(c.now, ref.ID, ref.Attempt) {
+		c.callOff(r, ref.Attempt, piernotch.Moot)
 		return
 	}
 	if c.debug {
@@ -656,17 +656,9 @@
 }
 
 func (h host) Cancel(id piernotch.RequestID, n int) {
-	c := h.c
-	r, a := c.attempt(Ref{id, n})
-	if a == nil {
-		return
+	if r, a := h.c.attempt(Ref{id, n}); a != nil {
+		h.c.callOff(r, n, piernotch.Cancelled)
 	}
-	c.do(Drop{Ref{id, n}})
-	c.pending = append(c.pending, func() {
-		if !a.ended {
-			c.ended(r, n, piernotch.Cancelled, nil)
-		}
-	})
 }
 
 func (h host) Refuse(id piernotch.RequestID, retryAfter time.Duration) {
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -262,8 +262,7 @@
 		if c.sock.Silent() {
 			p.release(c)
 		} else {
-			c.sock.Close()
-			p.dial()
+			c.close()
 		}
 	}
 }
@@ -325,8 +324,7 @@
 		c.errand = nil
 		x.conn = nil
 		if c.wrote || !c.sock.Silent() {
-			c.sock.Close()
-			c.pool.dial()
+			c.close()
 		} else {
 			c.pool.release(c)
 		}
@@ -409,6 +407,12 @@
 	}
 }
 
+// close ends a connection that was in use or about to be, and has one opened for what waited for it.
+func (c *conn) close() {
+	c.sock.Close()
+	c.pool.dial()
+}
+
 func (p *pool) remove(c *conn) {
 	same := func(other *conn) bool { return other == c }
 	p.idle = slices.DeleteFunc(p.idle, same)
@@ -424,8 +428,7 @@
 	// Bytes beyond the answer, or an answer before the request was whole, leave
 	// the connection in no state to carry another.
 	if m.Close || !c.parser.Idle() || c.sock.Unsent() > 0 {
-		c.sock.Close()
-		c.pool.dial()
+		c.close()
 	} else {
 		c.pool.rest(c)
 	}
--- a/maintenance.go
+++ b/maintenance.go
@@ -93,7 +93,7 @@
 	for len(b.quick) < len(s.Classes) {
 		b.quick = append(b.quick, 0)
 	}
-	b.rankBands()
+	b.makeBands()
 }
 
 // Learnt is what a proxy has learnt of its traffic, for the one that takes over from it.
--- a/state.go
+++ b/state.go
@@ -146,8 +146,7 @@
 	Request
 	class    *Class
 	band     int
-	over     bool // beyond its tenant's share
-	at       int  // index in open
+	at       int // index in open
 	work     float64
 	lane     int
 	aim      time.Duration
