--- a/internal/serve/core/requests.go
+++ b/internal/serve/core/requests.go
@@ -121,6 +121,7 @@
 			"id", request.clientID,
 			"result", response.Result,
 			"attempts", len(request.attempts),
+			"last_status", request.lastStatus,
 			"remaining_ms", (request.deadline - c.now).Milliseconds(),
 		)
 	}
--- a/internal/serve/discovery/watcher.go
+++ b/internal/serve/discovery/watcher.go
@@ -61,6 +61,8 @@
 	active       bool   // a poll is in flight, is being dialed or is scheduled
 	redialled    bool   // the poll in flight replaces one that timed out
 	lastPollAt   time.Duration
+	respondedAt  time.Duration // when the service last sent a list; until then, when the Watcher was made
+	failures     int           // since then
 	nextPollAt   time.Duration // 0: no poll is scheduled
 	pollDeadline time.Duration // when the poll in flight times out
 
@@ -83,18 +85,23 @@
 // New returns a Watcher that does not watch yet.
 func New(options Options) *Watcher {
 	return &Watcher{
-		loop:    options.Loop,
-		emit:    options.Emit,
-		now:     options.Now,
-		address: options.Address,
-		zones:   options.Zones,
-		version: options.Version,
+		loop:        options.Loop,
+		emit:        options.Emit,
+		now:         options.Now,
+		address:     options.Address,
+		zones:       options.Zones,
+		version:     options.Version,
+		respondedAt: options.Now(),
 	}
 }
 
 // Version returns the last generation of the list that is known.
 func (w *Watcher) Version() uint64 { return w.version }
 
+// ListAge returns the time since the discovery service last sent a list. While a watch is open and nothing
+// changes, that is up to the time that the service may hold a poll.
+func (w *Watcher) ListAge() time.Duration { return w.now() - w.respondedAt }
+
 // Resume continues from the version that another watcher knew. sameService
 // reports whether it was a version of this discovery service; one of another
 // service means nothing here.
@@ -155,7 +162,7 @@
 		w.fail(errWatchTimeout)
 		return
 	}
-	slog.Warn("watch timeout", "address", w.address, "generation", w.version)
+	slog.Warn("watch timeout", "address", w.address, "generation", w.version, "list_age_ms", w.ListAge().Milliseconds())
 	w.disconnect()
 	w.redialled = true
 	w.poll()
@@ -181,6 +188,10 @@
 	}
 	w.nextPollAt = 0
 	w.lastPollAt = w.now()
+	if w.failures > 0 {
+		slog.Info("discovery polled again", "address", w.address, "generation", w.version, "failures", w.failures,
+			"list_age_ms", w.ListAge().Milliseconds())
+	}
 	w.pollDeadline = w.lastPollAt + dialTimeout + watchWait + silenceGrace
 	if w.connection != nil {
 		w.writePoll()
@@ -223,7 +234,9 @@
 // fail ends the watch. The balancer decides when to start it again, unless it
 // restarts by itself.
 func (w *Watcher) fail(err error) {
-	slog.Warn("discovery failed", "address", w.address, "generation", w.version, "err", err)
+	w.failures++
+	slog.Warn("discovery failed", "address", w.address, "generation", w.version, "failures", w.failures,
+		"list_age_ms", w.ListAge().Milliseconds(), "err", err)
 	w.active = false
 	w.nextPollAt = 0
 	w.redialled = false
@@ -260,6 +273,7 @@
 		w.fail(err)
 		return
 	}
+	w.noteResponse()
 	if w.shared != nil {
 		w.publish(list, response.Body)
 	}
@@ -277,6 +291,16 @@
 	w.Watch()
 }
 
+// noteResponse notes that the service has sent a list, and logs it if it had failed before.
+func (w *Watcher) noteResponse() {
+	if w.failures > 0 {
+		slog.Info("discovery recovered", "address", w.address, "failures", w.failures,
+			"list_age_ms", w.ListAge().Milliseconds())
+	}
+	w.respondedAt = w.now()
+	w.failures = 0
+}
+
 // apply passes a list to the core.
 func (w *Watcher) apply(list EndpointList) {
 	w.version = list.Generation
--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -127,7 +127,8 @@
 
 // startClose serves nothing more on the connection: what arrives from now on is
 // discarded, and the sending side closes once all is written.
-func (c *connection) startClose() {
+func (c *connection) startClose(reason closeReason) {
+	c.logClose(reason)
 	c.closing = true
 	c.socket.DiscardInput()
 	c.closeWriteIfSent()
@@ -145,7 +146,8 @@
 }
 
 // closeNow closes the connection at once.
-func (c *connection) closeNow() {
+func (c *connection) closeNow(reason closeReason) {
+	c.logClose(reason)
 	c.socket.Close()
 	delete(c.downstream.connections, c)
 	c.abandonExchange()
--- a/internal/serve/downstream/response.go
+++ b/internal/serve/downstream/response.go
@@ -104,6 +104,6 @@
 		return // reported as a close of the connection
 	}
 	if c.closeAfterResponse {
-		c.startClose()
+		c.startClose(closeLastResponse)
 	}
 }
--- a/internal/serve/downstream/shedding.go
+++ b/internal/serve/downstream/shedding.go
@@ -46,7 +46,7 @@
 	for _, connections := range candidates {
 		slices.SortFunc(connections, func(a, b *connection) int { return cmp.Compare(a.phaseStart, b.phaseStart) })
 		for _, client := range connections[:min(remaining, len(connections))] {
-			client.closeNow()
+			client.closeNow(closeShed)
 			remaining--
 		}
 	}
--- a/internal/serve/downstream/timeouts.go
+++ b/internal/serve/downstream/timeouts.go
@@ -64,25 +64,25 @@
 	switch {
 	case c.writeClosed:
 		if age > lingerTimeout {
-			c.closeNow()
+			c.closeNow(closeLingered)
 		}
 	case c.exchange != 0: // the core enforces the request's deadline
 	case c.closing || c.socket.UnsentBytes() > 0:
 		if age > responseTimeout {
-			c.closeNow()
+			c.closeNow(closeUnread)
 		} else if c.closing {
 			c.closeWriteIfSent()
 		}
 	case !c.receivedData:
 		if age > firstByteTimeout && c.socket.InputEmpty() {
-			c.startClose()
+			c.startClose(closeSilent)
 		}
 	case !c.parser.Idle():
 		if age > requestTimeout {
 			c.rejectMalformed(http1.StatusRequestTimeout, "the request did not come to its end")
 		}
 	case age > idleLimit && c.socket.InputEmpty():
-		c.startClose()
+		c.startClose(closeIdleTooLong)
 	}
 }
 
@@ -93,7 +93,7 @@
 	for c := range d.connections {
 		expectsFirstRequest := !c.receivedData && now-c.phaseStart <= newConnectionGrace
 		if c.idle() && !expectsFirstRequest && c.socket.InputEmpty() {
-			c.startClose()
+			c.startClose(closeIdleAtShutdown)
 		}
 	}
 }
--- a/internal/serve/runtime/totals.go
+++ b/internal/serve/runtime/totals.go
@@ -40,5 +40,7 @@
 		"pending", b.core.PendingRequests(),
 		"clients", b.downstream.ConnectionCount(),
 		"descriptors", b.loop.OpenConnections(),
+		"generation", b.watcher.Version(),
+		"list_age_ms", b.watcher.ListAge().Milliseconds(),
 	)
 }
--- a/internal/serve/upstream/attempt.go
+++ b/internal/serve/upstream/attempt.go
@@ -58,8 +58,9 @@
 func (u *Upstream) fail(attempt *attempt, cause *AttemptError) {
 	u.forget(attempt)
 	attempt.connection = nil
-	slog.Info("attempt failed", "server", cause.Address, "stage", cause.Stage, "idle_ms", cause.IdleFor.Milliseconds(),
-		"health_check", attempt.healthCheck, "err", cause.Err)
+	slog.Info("attempt failed", "id", attempt.request.ID, "attempt", int(attempt.ref.Number), "server", cause.Address,
+		"stage", cause.Stage, "idle_ms", cause.IdleFor.Milliseconds(), "health_check", attempt.healthCheck,
+		"err", cause.Err)
 	if attempt.healthCheck {
 		u.emit(core.HealthCheckCompleted{Server: attempt.pool.endpoint.Server, Status: cause.Status()})
 		return
@@ -86,6 +87,8 @@
 	} else {
 		slog.Info(
 			"attempt unsuccessful",
+			"id", attempt.request.ID,
+			"attempt", int(attempt.ref.Number),
 			"server", endpoint.Address,
 			"status", response.Status,
 			"executed", status != piernotch.Full,
