--- a/internal/lab/emulator/discovery.go
+++ b/internal/lab/emulator/discovery.go
@@ -32,6 +32,8 @@
 	addresses   []string // by balancer
 	timers      []*time.Timer
 	calls       int
+	limits      []notifyState // by balancer
+	slowest     time.Duration // see SlowestNotification
 	generation  uint64
 	endpoints   map[int]*endpoint // by server; those that were never listed are missing
 	changes     map[int]int       // by server: the number of the last one that was scheduled
@@ -47,7 +49,8 @@
 	startedAt     time.Duration // time of the run
 	address       string
 	generation    uint64 // of its last change
-	startedUnixMS int64  // 0: before the run
+	listedAt      time.Duration
+	startedUnixMS int64 // 0: before the run
 }
 
 func newDiscovery(fleet *Fleet, options Options) (*Discovery, error) {
@@ -59,6 +62,7 @@
 		changed:   make(chan struct{}),
 		listeners: make([]*http.Server, options.Balancers),
 		addresses: make([]string, options.Balancers),
+		limits:    make([]notifyState, options.Balancers),
 	}
 	service.outage, service.beginOutage = context.WithCancel(context.Background())
 	for balancer := range options.Balancers {
@@ -195,6 +199,7 @@
 		startedAt:  startedAt,
 		address:    d.fleet.servers[server].currentAddress(),
 		generation: d.generation,
+		listedAt:   d.fleet.clock(),
 	}
 	previous := d.endpoints[server]
 	switch {
@@ -206,6 +211,7 @@
 	d.endpoints[server] = listed
 	close(d.changed)
 	d.changed = make(chan struct{})
+	d.timers = append(d.timers, time.AfterFunc(notifyLimit, d.notifyOverdue))
 }
 
 // setOutage begins an outage, which ends all watches and has calls fail, or ends one. Outages may overlap.
@@ -220,5 +226,8 @@
 	d.outages--
 	if d.outages == 0 {
 		d.outage, d.beginOutage = context.WithCancel(context.Background())
+		for balancer := range d.limits {
+			d.reachableLocked(balancer)
+		}
 	}
 }
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -209,8 +209,8 @@
 		state  piernotch.State
 	}
 	notifications := make(chan notification, 10)
-	f, _ := openFleet(t, "", func(balancer, server int, state piernotch.State, _ time.Duration) {
-		notifications <- notification{server, state}
+	f, _ := openFleet(t, "", func(sent Notification) {
+		notifications <- notification{sent.Server, sent.State}
 	})
 	client := &http.Client{Timeout: testTimeout}
 	get := func(query string) (discovery.EndpointList, int) {
--- a/internal/lab/emulator/observer.go
+++ b/internal/lab/emulator/observer.go
@@ -29,9 +29,24 @@
 // Without the proof the attempt may have been executed.
 type NeverExecuted bool
 
-// EndpointNotified is called when discovery has written a server's state to a balancer. The server started
-// at a time of the run. It may be called from any goroutine.
-type EndpointNotified func(balancer, server int, state piernotch.State, startedAt time.Duration)
+// Notification is what a balancer was notified of about one server.
+type Notification struct {
+	Balancer   int
+	Server     int
+	State      piernotch.State
+	StartedAt  time.Duration // time of the run at which the server's process started; 0: before the run
+	Generation uint64        // of the list that says so
+	// Connection is the address of the peer that discovery wrote the list to. "": nothing was written, but
+	// the balancer counts as notified because it had notifyLimit to ask.
+	Connection string
+}
+
+// Overdue reports whether the balancer only counts as notified.
+func (n Notification) Overdue() bool { return n.Connection == "" }
+
+// EndpointNotified is called when discovery has written a server's state to a balancer, or the balancer counts
+// as notified of it. It may be called from any goroutine.
+type EndpointNotified func(Notification)
 
 // Clock returns the time since the start of the run. It may be called from any goroutine.
 type Clock func() time.Duration
--- a/internal/lab/emulator/watch.go
+++ b/internal/lab/emulator/watch.go
@@ -41,6 +41,7 @@
 func (d *Discovery) EndpointList(balancer int) json.RawMessage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.limits[balancer].received = d.generation
 	list, _ := d.list(watchCall{balancer: balancer, complete: true})
 	return encodeList(list)
 }
@@ -126,7 +127,7 @@
 			return
 		}
 		if response.ready {
-			d.writeResponse(writer, balancer, response)
+			d.writeResponse(writer, request, balancer, response)
 			return
 		}
 		select {
@@ -163,13 +164,25 @@
 }
 
 // writeResponse writes a response and says what the balancer was notified of.
-func (d *Discovery) writeResponse(writer http.ResponseWriter, balancer int, response watchResponse) {
+func (d *Discovery) writeResponse(
+	writer http.ResponseWriter,
+	request *http.Request,
+	balancer int,
+	response watchResponse,
+) {
 	writer.Header().Set("Content-Type", "application/json")
 	_, err := writer.Write(encodeList(response.list))
 	if err != nil || d.notified == nil {
 		return
 	}
 	for i, server := range response.servers {
-		d.notified(balancer, server, response.endpoints[i].state, response.endpoints[i].startedAt)
+		d.notified(Notification{
+			Balancer:   balancer,
+			Server:     server,
+			State:      response.endpoints[i].state,
+			StartedAt:  response.endpoints[i].startedAt,
+			Generation: response.list.Generation,
+			Connection: request.RemoteAddr,
+		})
 	}
 }
--- a/internal/lab/loadtest/faults.go
+++ b/internal/lab/loadtest/faults.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
-	"piernotch"
 	"piernotch/internal/lab/chaos"
+	"piernotch/internal/lab/emulator"
 	"piernotch/internal/lab/faultproxy"
 	"piernotch/internal/lab/invariants"
 )
@@ -46,28 +46,40 @@
 }
 
 // endpointNotified passes on that discovery has written a server's state to a balancer, once it has
-// arrived: a link that is cut delays it.
-func (e *environment) endpointNotified(balancer, server int, state piernotch.State, startedAt time.Duration) {
+// arrived: a link that is cut delays it. What a balancer only counts as notified of is passed on at once.
+func (e *environment) endpointNotified(sent emulator.Notification) {
 	received := notification{
-		balancer:  invariants.BalancerIndex(balancer),
-		server:    invariants.ServerIndex(server),
-		state:     state,
-		startedAt: startedAt,
+		balancer:  invariants.BalancerIndex(sent.Balancer),
+		server:    invariants.ServerIndex(sent.Server),
+		state:     sent.State,
+		startedAt: sent.StartedAt,
 	}
-	if e.sharedWatch != nil {
+	discovery := e.fleet.Discovery()
+	switch {
+	case sent.Overdue():
+		if e.sharedWatch == nil { // else the others are notified by the group
+			e.observer.EndpointNotified(received)
+		}
+	case e.sharedWatch != nil:
 		e.sharedWatch.endpointNotified(e, received)
-		return
-	}
-	if e.proxies == nil {
+	case e.proxies == nil:
+		discovery.Received(sent.Balancer, sent.Generation)
 		e.observer.EndpointNotified(received)
-		return
+	default:
+		e.notifyThroughProxy(sent, received)
 	}
-	link, err := e.proxies.Link(linkName(balancer, chaos.Discovery), e.fleet.Discovery().Address(balancer))
+}
+
+// notifyThroughProxy passes on what was written to a link once it has arrived.
+func (e *environment) notifyThroughProxy(sent emulator.Notification, received notification) {
+	discovery := e.fleet.Discovery()
+	link, err := e.proxies.Link(linkName(sent.Balancer, chaos.Discovery), discovery.Address(sent.Balancer))
 	if err != nil {
 		return
 	}
 	go func() { // ends when the link heals, is reset or is closed
 		if link.Delivered(faultproxy.FromTarget) {
+			discovery.Received(sent.Balancer, sent.Generation)
 			e.observer.EndpointNotified(received)
 		}
 	}()
@@ -94,9 +106,11 @@
 	case chaos.PauseBalancer:
 		paused := faulted.current()
 		e.observer.BalancerPaused(step.Balancer)
+		e.fleet.Discovery().SetReachable(step.Balancer, false)
 		_ = paused.cmd.Process.Signal(syscall.SIGSTOP)
 		awaitEnd()
 		_ = paused.cmd.Process.Signal(syscall.SIGCONT)
+		e.fleet.Discovery().SetReachable(step.Balancer, true)
 		sleep(ctx, resumePause)
 		e.observer.BalancerRecovered(step.Balancer)
 	case chaos.KillBalancer:
@@ -113,9 +127,17 @@
 	}
 }
 
+// setReachable says whether a step's fault keeps its balancer from reaching discovery.
+func (e *environment) setReachable(step chaos.Step, reachable bool) {
+	if step.Target == chaos.Discovery {
+		e.fleet.Discovery().SetReachable(step.Balancer, reachable)
+	}
+}
+
 // flapLinks puts a step's fault on its links and heals them, in turn, until the step's end.
 func (e *environment) flapLinks(ctx context.Context, step chaos.Step) {
-	for faulty := false; e.clock() < step.End() && ctx.Err() == nil; {
+	faulty := false
+	for e.clock() < step.End() && ctx.Err() == nil {
 		faulty = !faulty
 		if faulty {
 			e.setLinkFault(step)
@@ -124,11 +146,14 @@
 		}
 		sleep(ctx, min(chaos.FlapInterval, step.End()-e.clock()))
 	}
-	e.healLinks(step)
+	if faulty {
+		e.healLinks(step)
+	}
 }
 
 // setLinkFault puts a step's fault on its links.
 func (e *environment) setLinkFault(step chaos.Step) {
+	e.setReachable(step, false)
 	e.eachLink(step, func(link *faultproxy.Link) {
 		for _, direction := range []faultproxy.Direction{faultproxy.ToTarget, faultproxy.FromTarget} {
 			fault := faultproxy.Fault{}
@@ -141,7 +166,10 @@
 }
 
 // healLinks ends all faults of a step's links.
-func (e *environment) healLinks(step chaos.Step) { e.eachLink(step, (*faultproxy.Link).Heal) }
+func (e *environment) healLinks(step chaos.Step) {
+	e.eachLink(step, (*faultproxy.Link).Heal)
+	e.setReachable(step, true)
+}
 
 // eachLink calls visit for each link that a step is about.
 func (e *environment) eachLink(step chaos.Step, visit func(*faultproxy.Link)) {
--- a/internal/lab/loadtest/loadtest_test.go
+++ b/internal/lab/loadtest/loadtest_test.go
@@ -104,12 +104,19 @@
 	require.ErrorContains(t, err, "out of cheese")
 }
 
-// The real balancer violates no invariant through a crash, a restart and servers that drain.
-func TestBalancerKeepsInvariantsOnSockets(t *testing.T) {
-	t.Parallel()
+// buildBalancer builds the real balancer and returns its file.
+func buildBalancer(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "piernotch")
 	out, err := exec.Command("go", "build", "-o", program, "piernotch/cmd/piernotch").CombinedOutput()
 	require.NoError(t, err, "%s", out)
+	return program
+}
+
+// The real balancer violates no invariant through a crash, a restart and servers that drain.
+func TestBalancerKeepsInvariantsOnSockets(t *testing.T) {
+	t.Parallel()
+	program := buildBalancer(t)
 	faults := `
 [[trouble]]
 kind = "balancer_crash"
--- a/internal/lab/loadtest/report.go
+++ b/internal/lab/loadtest/report.go
@@ -28,6 +28,8 @@
 	Balancers    [][]Quarter `json:"balancers"`
 
 	DiscoveryCalls int `json:"list_calls"`
+	// SlowestNotification is the longest time that a balancer lacked a listed change which it could have had.
+	SlowestNotification time.Duration `json:"slowest_notification_ns"`
 
 	Handovers *HandoverReport `json:"handed,omitempty"` // nil: none were played
 
@@ -48,6 +50,8 @@
 		LatenessMS:     lateness.Seconds() * 1000,
 		Malformed:      e.malformed.Counts(),
 		DiscoveryCalls: e.fleet.Discovery().Calls(),
+
+		SlowestNotification: e.fleet.Discovery().SlowestNotification(),
 	}
 	if counts.Attempts > 0 {
 		report.CPUPerAnswer = totalCPUSeconds(usage) / float64(counts.Attempts) * 1e6
