--- a/internal/lab/loadtest/outdated_list_test.go
+++ b/internal/lab/loadtest/outdated_list_test.go
@@ -40,7 +40,9 @@
 `
 	report, err := Run(
 		context.Background(),
-		testRealization(t, faults, "balancers.count=16", "length_s=24", "discovery.notice_s=0.2", "discovery.period_ms=100"),
+		testRealization(
+			t, faults, "balancers.count=16", "length_s=24", "discovery.notice_s=0.2", "discovery.period_ms=100",
+		),
 		Options{Program: buildBalancer(t)},
 	)
 	require.NoError(t, err)
--- a/internal/serve/discovery/watcher_test.go
+++ b/internal/serve/discovery/watcher_test.go
@@ -23,6 +23,8 @@
 	testTimeout = 20 * time.Second
 	// shortTime is less than any timeout.
 	shortTime = time.Millisecond
+	// drainGrace is the least grace that operators have given a drain.
+	drainGrace = 500 * time.Millisecond
 )
 
 // fixture is a Watcher on an event loop of its own, whose clock the test sets, and the discovery service,
@@ -175,6 +177,25 @@
 	require.Equal(t, pollOf(5), third.poll())
 }
 
+// What users saw is the same as after an outage: requests go to a server that has long been draining.
+//
+// Order of events: the network drops a watch without a word, and the poll that replaces it, too. The first is
+// noticed 6 s after its poll, the second took as long again, so that a change was known 12 s late. A change
+// counts as notified 2 s after the wait of the poll that should have brought it, and a drain gives 2 s more.
+//
+// Cause: the replacement had the timeout of a watch, though it only has to show that the service responds.
+func TestSilentReplacementOfSilentPollIsNoticedInTime(t *testing.T) {
+	const countsAsNotified = watchWait + 2*time.Second
+	f := newFixture(t)
+	f.do(f.watcher.Watch)
+	f.accept().poll()
+	f.advance(watchWait + silenceGrace + shortTime)
+	f.accept().poll()
+	f.advance(countsAsNotified + drainGrace - (watchWait + silenceGrace) - 2*shortTime)
+	require.NoError(t, f.service.(*net.TCPListener).SetDeadline(time.Now().Add(time.Second)))
+	f.accept().poll()
+}
+
 // A watch that restarts by itself makes the next poll restartDelay after a failure.
 func TestPushWatchRestartsAfterFailure(t *testing.T) {
 	f := newFixture(t)
