--- a/balancer.go
+++ b/balancer.go
@@ -21,7 +21,12 @@
 const (
 	ticksPerObjective = 16.0 // ticks within the shortest latency objective
 	serversPerTick    = 256  // servers that can be reviewed at every tick
-	tickToken         = 1    // of the timer that ticks
+
+	// maxTickInterval bounds the time between ticks where all objectives are long: what is due at a tick,
+	// like the next subscription to the list, must not come later by more than this.
+	maxTickInterval = 250 * time.Millisecond
+
+	tickToken = 1 // of the timer that ticks
 
 	// ticksToDispatch is the number of ticks within which a waiting request is looked at again for certain:
 	// two, so that the next tick may come late by a whole interval.
--- a/configure.go
+++ b/configure.go
@@ -31,6 +31,7 @@
 	s.Classes = slices.Clone(s.Classes) // open requests point to theirs
 	b.settings = s
 	b.deriveFromSettings()
+	b.subscription.Hasten(now, b.rng)
 	for _, target := range b.endpoints.sorted {
 		target.classFailures.Grow(len(s.Classes))
 	}
@@ -44,7 +45,8 @@
 	for _, c := range s.Classes {
 		b.shortestObjective = min(b.shortestObjective, c.LatencyObjective)
 	}
-	b.tickInterval = max(s.Tick, time.Duration(float64(b.shortestObjective)/ticksPerObjective))
+	perObjective := time.Duration(float64(b.shortestObjective) / ticksPerObjective)
+	b.tickInterval = max(s.Tick, min(perObjective, maxTickInterval))
 	b.subscription.Configure(subscription.Options{
 		Subscribe: s.PollDiscovery, PollInterval: s.Rules.PollInterval,
 	})
--- a/endpoints_test.go
+++ b/endpoints_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/decision/subscription"
 )
 
 func TestRestartUnderSameIDStartsSlowStart(t *testing.T) {
@@ -55,3 +59,21 @@
 		t.Fatal("did not subscribe after the second backoff")
 	}
 }
+
+// With objectives of a minute, a subscription that is due still comes within the bound on its backoff.
+func TestLongObjectivesDoNotDelaySubscription(t *testing.T) {
+	s := testSettings()
+	s.PollDiscovery = true
+	s.Rules.PollInterval = time.Hour
+	for i := range s.Classes {
+		s.Classes[i].LatencyObjective = time.Minute
+		s.Classes[i].Deadline = 2 * time.Minute
+	}
+	b, h := newTestBalancer(t, s, testEndpoints(2, 1))
+	require.LessOrEqual(t, b.tickInterval, maxTickInterval)
+	now := time.Second
+	for until := now + subscription.NotifyLimit/2; now < until; now += b.tickInterval {
+		b.Timer(now, tickToken)
+	}
+	require.Equal(t, 1, h.watches)
+}
--- a/internal/decision/subscription/subscription.go
+++ b/internal/decision/subscription/subscription.go
@@ -4,8 +4,8 @@
 // It prevents that all balancers subscribe at once, and again and again, to a discovery service that was
 // overloaded or has just restarted: the first subscription has a random delay, and each failure doubles
 // the backoff before the next, with jitter (exponential backoff with jitter, as in the AWS Architecture
-// Blog of 2015 and gRPC's connection backoff). The backoff is bounded by the poll interval, so that the
-// list does not get older than the operators allow.
+// Blog of 2015 and gRPC's connection backoff). The backoff is bounded, because a change counts as notified a
+// fixed time after discovery can be reached, whatever the poll interval is.
 //
 // A Schedule must not be used concurrently.
 package subscription
@@ -17,14 +17,25 @@
 	"piernotch/internal/decision/estimate"
 )
 
-// backoffsPerPollInterval sets the first backoff, as a fraction of the poll interval: some attempts fail
-// and their backoffs grow within the interval before the list is older than it.
-const backoffsPerPollInterval = 8
+const (
+	// backoffsPerPollInterval sets the first backoff, as a fraction of the poll interval: some attempts fail
+	// and their backoffs grow within the interval before the list is older than it.
+	backoffsPerPollInterval = 8
+
+	// NotifyLimit is how long after discovery has a change, and can be reached, a balancer counts as notified
+	// of it, whatever became of its calls (protocol page, "Figures").
+	NotifyLimit = 6 * time.Second
+
+	// maxBackoff is the longest mean backoff. Discovery may come back just after a call that failed, and the
+	// next call may fail, too: two waits of up to 3/2 of this, and a second to connect between them, end
+	// within NotifyLimit.
+	maxBackoff = NotifyLimit / 4
+)
 
 // Options is what the operators set.
 type Options struct {
 	Subscribe    bool          // the list comes only after a subscription; false: nothing is ever due
-	PollInterval time.Duration // bound on the backoff; 0: no backoff
+	PollInterval time.Duration // sets the first backoff; 0: no backoff
 }
 
 // Schedule is when the next subscription is due. The zero value never subscribes: Configure enables it.
@@ -60,10 +71,20 @@
 func (s *Schedule) Failed(now time.Duration, rng *rand.Rand) {
 	s.subscribed = false
 	s.nextAt = now + s.backoff/2 + estimate.Jitter(rng, s.backoff)
-	s.backoff = min(2*s.backoff, max(s.options.PollInterval, s.backoff))
+	s.backoff = min(2*s.backoff, maxBackoff)
+}
+
+// Hasten makes a subscription that waits due within the first backoff, at random. Operators who change the
+// settings expect that the list is asked for soon.
+func (s *Schedule) Hasten(now time.Duration, rng *rand.Rand) {
+	if s.options.Subscribe && !s.subscribed {
+		s.nextAt = min(s.nextAt, now+estimate.Jitter(rng, s.backoff))
+	}
 }
 
 // Succeeded records that discovery has responded: the backoff starts from its first value again.
 func (s *Schedule) Succeeded() { s.resetBackoff() }
 
-func (s *Schedule) resetBackoff() { s.backoff = s.options.PollInterval / backoffsPerPollInterval }
+func (s *Schedule) resetBackoff() {
+	s.backoff = min(s.options.PollInterval/backoffsPerPollInterval, maxBackoff)
+}
--- a/internal/decision/subscription/subscription_test.go
+++ b/internal/decision/subscription/subscription_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 const pollInterval = 8 * time.Second
@@ -26,11 +27,11 @@
 	require.False(t, s.SubscribeIfDue(time.Hour), "there is one already")
 }
 
-func TestBackoffDoublesUpToPollInterval(t *testing.T) {
+func TestBackoffDoublesUpToItsBound(t *testing.T) {
 	s, rng := newSchedule()
+	s.Configure(Options{Subscribe: true, PollInterval: 4 * time.Second})
 	now := time.Second
-	for _, backoff := range []time.Duration{1, 2, 4, 8, 8, 8} {
-		backoff *= time.Second
+	for _, backoff := range []time.Duration{500 * time.Millisecond, time.Second, maxBackoff, maxBackoff, maxBackoff} {
 		require.True(t, s.SubscribeIfDue(now))
 		s.Failed(now, rng)
 		require.False(t, s.SubscribeIfDue(now+backoff/2-1), "backoff %v", backoff)
@@ -39,7 +40,48 @@
 	}
 	s.Succeeded()
 	s.Failed(now, rng)
-	require.Less(t, s.nextAt, now+3*time.Second/2, "success resets the backoff")
+	require.Less(t, s.nextAt, now+750*time.Millisecond, "success resets the backoff")
+}
+
+// Whatever the settings are and however often it has failed, two waits and a call that fails by its dial
+// between them end within NotifyLimit, so that a change is known before the grace of a drain begins.
+func TestTwoWaitsEndWithinNotifyLimit(t *testing.T) {
+	const dialTimeout = time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Schedule{}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		interval := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "interval"))
+		s.Configure(Options{Subscribe: true, PollInterval: interval})
+		s.Start(0, rng)
+		require.LessOrEqual(t, s.nextAt, maxBackoff)
+		now := s.nextAt
+		for range rapid.IntRange(0, 20).Draw(t, "failures") {
+			s.Failed(now, rng)
+			now = s.nextAt
+		}
+		back := now // discovery is reachable from now on, just after this call
+		for range 2 {
+			s.Failed(now, rng)
+			require.False(t, s.SubscribeIfDue(s.nextAt-1))
+			now = s.nextAt + dialTimeout
+		}
+		require.LessOrEqual(t, now-dialTimeout-back, NotifyLimit)
+	})
+}
+
+func TestHastenBringsWaitingSubscriptionForward(t *testing.T) {
+	s, rng := newSchedule()
+	for range 5 {
+		s.SubscribeIfDue(s.nextAt)
+		s.Failed(time.Second, rng)
+	}
+	due := s.nextAt
+	s.Configure(s.options)
+	s.Hasten(time.Second, rng)
+	require.LessOrEqual(t, s.nextAt, min(due, 2*time.Second))
+	require.True(t, s.SubscribeIfDue(s.nextAt))
+	s.Hasten(time.Hour, rng)
+	require.False(t, s.SubscribeIfDue(time.Hour), "there is one already")
 }
 
 func TestNothingIsDueUnlessDiscoveryHasToBeAsked(t *testing.T) {
--- a/internal/lab/simulation/discovery.go
+++ b/internal/lab/simulation/discovery.go
@@ -17,6 +17,7 @@
 	version     uint64        // of the list
 	busyUntil   time.Duration // with the calls taken so far
 	outages     int           // that go on
+	outageEnded time.Duration // the last one
 	noticeDelay time.Duration // by which faults delay notices further
 	phase       time.Duration // of the interval of publishing
 }
@@ -191,4 +192,7 @@
 }
 
 // endOutage ends one outage.
-func (d *discovery) endOutage() { d.outages-- }
+func (d *discovery) endOutage(world *World) {
+	d.outages--
+	d.outageEnded = world.now
+}
--- a/internal/lab/simulation/discovery_delivery.go
+++ b/internal/lab/simulation/discovery_delivery.go
@@ -12,6 +12,10 @@
 // outage.
 const callFailureDelay = time.Millisecond
 
+// notifyLimit is how long after a change is listed, and discovery can be reached, a balancer counts as notified
+// of it, whatever became of its calls (protocol page, "Figures").
+const notifyLimit = 6 * time.Second
+
 // pollIntervalsAfterFailure is for how many poll intervals a balancer whose last call failed may go
 // without another one.
 const pollIntervalsAfterFailure = 4
@@ -196,9 +200,13 @@
 }
 
 // notifyImplied counts balancers that neither watch nor poll as notified of what has been listed for
-// longer than they may go without polling.
+// longer than they may go without polling, and of what discovery has had for notifyLimit since its last outage.
 func (d *discovery) notifyImplied(world *World) {
+	couldBeAsked := d.outages == 0 && world.now-d.outageEnded >= notifyLimit
 	for i := range world.balancers {
+		if balancer := &world.balancers[i]; couldBeAsked && balancer.up && balancer.pollFailed && !balancer.watching {
+			d.notifyUnpolled(world, balancerIndex(i), world.now-notifyLimit)
+		}
 		balancer := &world.balancers[i]
 		limit := world.realization.Rules.PollInterval
 		if balancer.pollFailed {
--- a/internal/lab/simulation/faults.go
+++ b/internal/lab/simulation/faults.go
@@ -21,7 +21,7 @@
 		fault := &w.realization.Faults[i]
 		if fault.Kind == scenario.FaultMoveDiscovery { // to the balancers it is an outage that is over at once
 			w.schedule(fault.At, func() { w.discovery.beginOutage(w) })
-			w.schedule(fault.At+time.Millisecond, func() { w.discovery.endOutage() })
+			w.schedule(fault.At+time.Millisecond, func() { w.discovery.endOutage(w) })
 		}
 		for position, balancer := range fault.Balancers {
 			w.scheduleBalancerFault(fault, position, balancerIndex(balancer))
@@ -85,7 +85,7 @@
 	case scenario.DiscoveryDown:
 		w.discovery.beginOutage(w)
 	case scenario.DiscoveryUp:
-		w.discovery.endOutage()
+		w.discovery.endOutage(w)
 	}
 }
 
