--- a/cmd/piernotch-lab/emulate.go
+++ b/cmd/piernotch-lab/emulate.go
@@ -21,7 +21,7 @@
 	attempts map[string]int // by request id
 }
 
-func (a *anyRequestObserver) AttemptReceived(id string, _ int) int {
+func (a *anyRequestObserver) AttemptReceived(id string, _ int, _ time.Duration) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.attempts) > 1<<20 { // the counts only number the attempts of a request
--- a/cmd/piernotch-lab/load.go
+++ b/cmd/piernotch-lab/load.go
@@ -37,9 +37,9 @@
 		Arrivals:    arrivals,
 		Observer:    ignoreRequests{},
 		Clock:       func() time.Duration { return time.Since(started) },
-		Pick: func(_ int, rng *rand.Rand) (int, string, bool) {
+		Pick: func(_ int, rng *rand.Rand) (load.Picked, bool) {
 			balancer := rng.IntN(len(c.To))
-			return balancer, c.To[balancer], true
+			return load.Picked{Balancer: balancer, Address: c.To[balancer]}, true
 		},
 	}
 	clients.Run(ctx)
--- a/cmd/piernotch-lab/loadtest_report.go
+++ b/cmd/piernotch-lab/loadtest_report.go
@@ -66,8 +66,12 @@
 
 // describeCounts describes how the clients' attempts ended.
 func describeCounts(counts load.Counts) string {
-	return fmt.Sprintf("%d served, %d rejected, %d failed, %d timed out, %d disconnected, %d unreachable",
+	text := fmt.Sprintf("%d served, %d rejected, %d failed, %d timed out, %d disconnected, %d unreachable",
 		counts.Served, counts.Rejected, counts.Failed, counts.TimedOut, counts.Disconnected, counts.Unreachable)
+	if counts.Left > 0 {
+		text += fmt.Sprintf(", %d left", counts.Left)
+	}
+	return text
 }
 
 // printReport prints what one load test measured.
@@ -86,12 +90,14 @@
 		)
 	}
 	std.out.Printf(
-		"  violations: lost %d, repeated %d, drain %d, slow start %d; %.0f us of CPU per request; the test "+
-			"harness was %.1f ms late (p99)\n",
+		"  violations: lost %d, repeated %d, drain %d, slow start %d, deadline %d; slowest notification %.1f s; "+
+			"%.0f us of CPU per request; the test harness was %.1f ms late (p99)\n",
 		report.Lost,
 		report.Repeated,
 		report.DrainViolations,
 		report.SlowStartCollapses,
+		report.DeadlineViolations,
+		report.SlowestNotification.Seconds(),
 		report.CPUPerAnswer,
 		report.LatenessMS,
 	)
--- a/cmd/piernotch-lab/main.go
+++ b/cmd/piernotch-lab/main.go
@@ -39,6 +39,7 @@
 	Faulttest faulttestCmd `cmd:"" aliases:"drill" help:"Play the faults that a service must recover from by itself, and measure its recovery time."`                           //nolint:lll // struct tags cannot be wrapped
 	Handover  handoverCmd  `cmd:"" help:"Play handovers of balancers from process to process, under load and with faults."`                                                     //nolint:lll // struct tags cannot be wrapped
 	Chaos     chaosCmd     `cmd:"" help:"Put faults between balancers, servers and discovery by a seeded schedule, and check invariants by what clients and servers observed."` //nolint:lll // struct tags cannot be wrapped
+	Soak      soakCmd      `cmd:"" help:"Draw whole runs from seeds, settings, traffic and faults at once, and play them on processes."`                                        //nolint:lll // struct tags cannot be wrapped
 	Cluster   clusterCmd   `cmd:"" aliases:"group" help:"Put faults between the voters and lease holders of a control group, in simulated time or on processes."`               //nolint:lll // struct tags cannot be wrapped
 	Hold      holdCmd      `cmd:"" hidden:"" help:"A process that competes for duties, for cluster processes."`
 	Emulate   emulateCmd   `cmd:"" help:"Emulate the servers and discovery alone, for any balancer."`
--- a/internal/lab/chaos/schedule.go
+++ b/internal/lab/chaos/schedule.go
@@ -42,6 +42,7 @@
 	kindProcesses = "processes"
 	kindFlaps     = "flaps"
 	kindMixed     = "mixed"
+	kindSoak      = "soak"
 )
 
 // Kind is a kind of schedule.
@@ -57,6 +58,10 @@
 	{kindProcesses, "balancers are paused and killed"},
 	{kindFlaps, "links are cut and healed every 200 ms"},
 	{kindMixed, "all of these, overlapping"},
+	{
+		kindSoak,
+		"watches fall silent, discovery is cut, balancers get series of signals, are killed at the earliest or paused",
+	},
 }
 
 // Draw draws a schedule of a kind, in the order of time. Steps on the same link or process do not
@@ -95,6 +100,10 @@
 	step.Balancer = rng.IntN(size.Balancers)
 	step.Target = Target(rng.IntN(size.Servers))
 	step.Duration = between(rng, 300*time.Millisecond, 6*time.Second)
+	if kind == kindSoak {
+		step.drawSoakStep(rng)
+		return step
+	}
 	if kind == kindMixed {
 		kind = []string{kindLinks, kindLinks, kindDiscovery, kindProcesses, kindFlaps}[rng.IntN(5)]
 	}
@@ -123,6 +132,36 @@
 	return step
 }
 
+// shortPause is how long a balancer may be held up at any time without that excusing it from anything.
+const shortPause = 150 * time.Millisecond
+
+// drawSoakStep draws a step of a soak: faults that leave the links to servers alone, so that nothing excuses a
+// late attempt.
+func (s *Step) drawSoakStep(rng *rand.Rand) {
+	s.Target = 0
+	switch rng.IntN(8) {
+	case 0, 1:
+		s.Action = FreezeLink
+		s.Target = Discovery
+	case 2:
+		s.Target = Discovery
+		s.drawFault(rng)
+	case 3, 4:
+		s.Action = TerminateBalancer
+		s.SignalSeries = rng.IntN(2) == 0
+		s.Duration += 4 * time.Second // until after the latest kill
+	case 5:
+		s.Action = ReloadBalancer
+		s.Duration = min(s.Duration, time.Second)
+	case 6:
+		s.Action = PauseBalancer
+		s.Duration = between(rng, shortPause/2, shortPause)
+	default:
+		s.Action = KillBalancer
+		s.Duration = between(rng, 200*time.Millisecond, 3*time.Second)
+	}
+}
+
 // drawFault draws the fault of a link and its directions. A link that flaps is cut.
 func (s *Step) drawFault(rng *rand.Rand) {
 	s.Directions = Directions(rng.IntN(3))
--- a/internal/lab/chaos/step.go
+++ b/internal/lab/chaos/step.go
@@ -17,10 +17,30 @@
 	FlapLink      Action = "flap" // the same, put on and healed every FlapInterval
 	PauseBalancer Action = "stop" // SIGSTOP, then SIGCONT
 	KillBalancer  Action = "kill" // SIGKILL, then a new start
+	// FreezeLink silences the connections that are open at Step.At; new ones are healthy.
+	FreezeLink Action = "freeze"
+	// TerminateBalancer sends SIGTERM, and SIGKILL at the earliest moment that the platform allows. Clients go
+	// on sending on the connections that stay open. The balancer starts again at the end of the step, at the
+	// earliest after that.
+	TerminateBalancer Action = "terminate"
+	// ReloadBalancer sends SIGHUP every ReloadInterval.
+	ReloadBalancer Action = "reload"
 )
 
+// ReloadInterval is the time between two reloads of a series.
+const ReloadInterval = 150 * time.Millisecond
+
 // onProcess reports whether the action concerns a process and not its links.
-func (a Action) onProcess() bool { return a == PauseBalancer || a == KillBalancer }
+func (a Action) onProcess() bool {
+	switch a {
+	case PauseBalancer, KillBalancer, TerminateBalancer, ReloadBalancer:
+		return true
+	}
+	return false
+}
+
+// OnLink reports whether the step concerns a link and not a process.
+func (s Step) OnLink() bool { return !s.Action.onProcess() }
 
 // FlapInterval is how long a flapping link stays in one state.
 const FlapInterval = 200 * time.Millisecond
@@ -69,6 +89,8 @@
 	Target     Target           `json:"to"` // of FaultLink and FlapLink
 	Directions Directions       `json:"way"`
 	Fault      faultproxy.Fault `json:"fault"`
+	// SignalSeries has TerminateBalancer send SIGHUP and a second SIGTERM behind the first.
+	SignalSeries bool `json:"signals,omitempty"`
 }
 
 // End returns when the step is over.
@@ -82,6 +104,16 @@
 		return when + fmt.Sprintf("balancer %d is paused", s.Balancer)
 	case KillBalancer:
 		return when + fmt.Sprintf("balancer %d is killed, and started again", s.Balancer)
+	case TerminateBalancer:
+		series := ""
+		if s.SignalSeries {
+			series = ", SIGHUP and SIGTERM"
+		}
+		return when + fmt.Sprintf("balancer %d gets SIGTERM%s, SIGKILL, and is started again", s.Balancer, series)
+	case ReloadBalancer:
+		return when + fmt.Sprintf("balancer %d gets a series of SIGHUP", s.Balancer)
+	case FreezeLink:
+		return when + fmt.Sprintf("open connections of balancer %d to %s fall silent", s.Balancer, s.Target)
 	}
 	directions := [...]string{"", ", only to it", ", only from it"}[s.Directions]
 	return when + fmt.Sprintf("balancer %d to %s%s: %s", s.Balancer, s.Target, directions, s.faultText())
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -45,7 +45,7 @@
 	return false
 }
 
-func (n *recorder) AttemptReceived(id string, server int) int {
+func (n *recorder) AttemptReceived(id string, server int, _ time.Duration) int {
 	if id == "stranger" {
 		return -1
 	}
--- a/internal/lab/emulator/exchange.go
+++ b/internal/lab/emulator/exchange.go
@@ -44,7 +44,7 @@
 	if received.id == "" {
 		return received.writeError(http.StatusNotFound)
 	}
-	received.attempt = s.fleet.observer.AttemptReceived(received.id, s.number)
+	received.attempt = s.fleet.observer.AttemptReceived(received.id, s.number, timeoutOf(received.request))
 	if received.attempt < 0 {
 		return received.writeError(http.StatusBadRequest)
 	}
@@ -159,12 +159,18 @@
 	}
 	key, _ := strconv.ParseUint(message.Query("k"), 16, 64) // none is 0
 	job := servermodel.Job{Work: work, Key: key}
-	if milliseconds, err := strconv.Atoi(message.Fields.Get("x-deadline-ms")); err == nil {
-		job.Expires = now + time.Duration(milliseconds)*time.Millisecond
+	if timeout := timeoutOf(message); timeout > 0 {
+		job.Expires = now + timeout
 	}
 	return job
 }
 
+// timeoutOf returns for how long the balancer says it waits; 0 if it does not say.
+func timeoutOf(message *http1.Message) time.Duration {
+	milliseconds, _ := strconv.Atoi(message.Fields.Get("x-deadline-ms")) // none is 0
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // cancel takes back the job of a request whose connection is gone.
 func (s *server) cancel(received exchange, job *pendingJob) {
 	s.mu.Lock()
--- a/internal/lab/emulator/observer.go
+++ b/internal/lab/emulator/observer.go
@@ -9,9 +9,10 @@
 // Observer is notified of what servers see. Its methods may be called from any goroutine, with a server
 // locked, and must not call back.
 type Observer interface {
-	// AttemptReceived says that an attempt of a request has arrived in full. It returns the attempt's
-	// number among those of the request, from 0; -1 for a request that nobody sent.
-	AttemptReceived(id string, server int) int
+	// AttemptReceived says that an attempt of a request has arrived in full, and the timeout that came with it,
+	// 0 for none. It returns the attempt's number among those of the request, from 0; -1 for a request that
+	// nobody sent.
+	AttemptReceived(id string, server int, timeout time.Duration) int
 	// AttemptAccepted says that the server has admitted it.
 	AttemptAccepted(id string, attemptNumber int)
 	// AttemptExecuted says that it has run, at least in part.
--- a/internal/lab/faultproxy/connection.go
+++ b/internal/lab/faultproxy/connection.go
@@ -15,6 +15,7 @@
 type connection struct {
 	sockets [2]*net.TCPConn // of the process that opened it, and of the target
 	doomed  bool            // to be reset: data that was delayed must not pass any more
+	frozen  bool            // it carries nothing any more, and neither side is notified
 	once    sync.Once
 }
 
@@ -127,9 +128,17 @@
 	}
 	l.mu.Lock()
 	doomed := carried.doomed
+	frozen := carried.frozen
 	l.mu.Unlock()
-	if doomed {
+	switch {
+	case doomed:
 		return false
+	case frozen:
+		if next.err != nil { // its opener or the target has given it up
+			l.end(carried)
+			return false
+		}
+		return true
 	}
 	if fault.BytesPerSecond > 0 {
 		time.Sleep(time.Duration(float64(len(next.data)) / float64(fault.BytesPerSecond) * float64(time.Second)))
--- a/internal/lab/faultproxy/faultproxy_test.go
+++ b/internal/lab/faultproxy/faultproxy_test.go
@@ -141,3 +141,23 @@
 	_, err = client.receive(long)
 	require.ErrorContains(t, err, "reset")
 }
+
+func TestFrozenConnectionFallsSilentAndNewOnesWork(t *testing.T) {
+	network := New(1)
+	t.Cleanup(network.Close)
+	link, err := network.Link("a>b", startEchoServer(t))
+	require.NoError(t, err)
+	before := dial(t, link)
+	answer, err := before.exchange("one", time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "one\n", answer)
+	link.Freeze()
+	_, err = before.exchange("two", 100*time.Millisecond)
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout(), "it is silent, and neither closed nor reset")
+	after := dial(t, link)
+	answer, err = after.exchange("three", time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "three\n", answer)
+}
--- a/internal/lab/faultproxy/link.go
+++ b/internal/lab/faultproxy/link.go
@@ -60,6 +60,29 @@
 	l.SetFault(FromTarget, Fault{})
 }
 
+// Freeze has the connections that are open now carry nothing any more, without a word to either side, as
+// where a machine on the way has forgotten them. New connections are healthy.
+func (l *Link) Freeze() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for connection := range l.connections {
+		connection.frozen = true
+	}
+}
+
+// Carries reports whether data goes through on the connection that the target sees as coming from an address.
+func (l *Link) Carries(remoteAddress string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for connection := range l.connections {
+		socket := connection.sockets[1]
+		if socket != nil && socket.LocalAddr().String() == remoteAddress {
+			return !connection.frozen && !connection.doomed
+		}
+	}
+	return false
+}
+
 // Delivered waits until what has been written to a direction by now has arrived, as far as the link's
 // faults are concerned. It reports false if that never happens: the connection was reset or the link
 // closed.
--- a/internal/lab/invariants/attempts.go
+++ b/internal/lab/invariants/attempts.go
@@ -13,8 +13,12 @@
 	Balancer BalancerIndex
 	Request  uint64
 	Server   ServerIndex
+	Timeout  time.Duration // that the server was told; 0: none
 }
 
+// deadlineSlack is by how much the deadline that a server is told may be later than the client's.
+const deadlineSlack = 150 * time.Millisecond
+
 // AttemptSent records an attempt that was sent. The attempts of a request are numbered from 0 in the
 // order in which they are sent.
 func (c *Checker) AttemptSent(sent SentAttempt) {
@@ -27,6 +31,7 @@
 		}
 	}
 	c.checkRetry(&sent, request)
+	c.checkDeadline(&sent, request)
 	if len(request.attempts) < maxAttempts {
 		request.attempts = append(request.attempts, attemptRecord{sentAt: sent.At, server: sent.Server})
 	}
@@ -57,6 +62,16 @@
 	}
 }
 
+// checkDeadline checks that a server is not told more time than the client has left.
+func (c *Checker) checkDeadline(sent *SentAttempt, request *requestRecord) {
+	beyond := sent.At + sent.Timeout - request.deadline
+	if sent.Timeout == 0 || beyond <= deadlineSlack {
+		return
+	}
+	message := fmt.Sprintf("the server was told %v, %v more than the client has left", sent.Timeout, beyond)
+	c.reportAttempt(Deadline, sent, message)
+}
+
 // checkRetry checks a further attempt of a request against its class and the limits.
 func (c *Checker) checkRetry(sent *SentAttempt, request *requestRecord) {
 	class := c.classOf(request)
--- a/internal/lab/invariants/checker_test.go
+++ b/internal/lab/invariants/checker_test.go
@@ -162,6 +162,17 @@
 	}
 }
 
+func TestDeadlineToldToServerIsCheckedAgainstTheClients(t *testing.T) {
+	for _, told := range []time.Duration{0, 90 * ms, 90*ms + deadlineSlack, 90*ms + deadlineSlack + 1} {
+		checker := New(Limits{MaxAttempts: 2})
+		checker.RequestReceived(ReceivedRequest{ID: 1, Deadline: 100 * ms})
+		checker.AttemptSent(SentAttempt{At: 10 * ms, Request: 1, Timeout: told})
+		tooLong := told > 90*ms+deadlineSlack
+		require.Equal(t, tooLong, checker.Count(Deadline) == 1, told)
+		require.Equal(t, tooLong, len(checker.Violations()) == 1, told)
+	}
+}
+
 func TestRuleIsReadBackFromItsName(t *testing.T) {
 	for rule := range ruleCount {
 		text, err := rule.MarshalText()
--- a/internal/lab/invariants/rules.go
+++ b/internal/lab/invariants/rules.go
@@ -7,7 +7,7 @@
 	"piernotch"
 )
 
-// Rule is one of the four rules.
+// Rule is one of the rules.
 type Rule uint8
 
 // Rules.
@@ -16,15 +16,20 @@
 	Repeated
 	Drain
 	SlowStart
+	Deadline // that servers are told
 	ruleCount
 )
 
 // storedRules are the names of rules in stored results.
-var storedRules = [ruleCount]string{Lost: "lost", Repeated: "repeated", Drain: "drain", SlowStart: "cold"}
+var storedRules = [ruleCount]string{
+	Lost: "lost", Repeated: "repeated", Drain: "drain", SlowStart: "cold", Deadline: "deadline",
+}
 
 // String names a rule as reports print it.
 func (r Rule) String() string {
-	return [ruleCount]string{Lost: "lost", Repeated: "repeated", Drain: "drain", SlowStart: "slow start"}[r]
+	return [ruleCount]string{
+		Lost: "lost", Repeated: "repeated", Drain: "drain", SlowStart: "slow start", Deadline: "deadline",
+	}[r]
 }
 
 // MarshalText implements encoding.TextMarshaler by the name in stored results.
--- a/internal/lab/load/attempt.go
+++ b/internal/lab/load/attempt.go
@@ -32,12 +32,8 @@
 	rng *rand.Rand,
 ) (outcome Outcome, retryAfter time.Duration) {
 	deadline := c.Clock() + timeout
-	balancer, address, ok := c.Pick(arrival.Zone, rng)
-	if !ok {
-		return Unreachable, 0
-	}
 	for fresh := false; ; fresh = true {
-		conn, err := c.connect(ctx, address, fresh, deadline)
+		conn, picked, err := c.connectTo(ctx, attemptTarget{arrival.Zone, deadline}, fresh, rng)
 		if err != nil {
 			return Unreachable, 0
 		}
@@ -47,8 +43,9 @@
 			return TimedOut, 0
 		}
 		id := fmt.Sprintf("%016x", arrival.Seed^c.nextID.Add(1)<<48)
-		c.Observer.RequestSent(id, balancer, arrival.Class, deadline)
-		got := c.exchange(conn, arrival, id, remaining)
+		c.Observer.RequestSent(id, picked.Balancer, arrival.Class, deadline)
+		sent := outgoing{id: id, remaining: remaining, leaveAfter: c.drawLeave(remaining, rng)}
+		got := c.exchange(conn, arrival, sent)
 		if got.closedUnread && conn.reused && !fresh {
 			c.Observer.RequestEnded(id, Unreachable)
 			c.countRetryOnClose()
@@ -59,6 +56,22 @@
 	}
 }
 
+// drawLeave draws when a client leaves that does not wait until its deadline; 0: it waits.
+func (c *Clients) drawLeave(remaining time.Duration, rng *rand.Rand) time.Duration {
+	share := c.Realization.Clients.EarlyDisconnectShare
+	if share <= 0 || rng.Float64() >= share {
+		return 0
+	}
+	return max(time.Duration(rng.Float64()*float64(remaining)), time.Millisecond)
+}
+
+// outgoing is a request that is about to be written.
+type outgoing struct {
+	id         string
+	remaining  time.Duration // for which its client waits
+	leaveAfter time.Duration // the client closes the connection after that; 0: it does not
+}
+
 func (c *Clients) countRetryOnClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,14 +82,23 @@
 type response struct {
 	outcome      Outcome
 	retryAfter   time.Duration
-	closedUnread bool // the connection was closed before anything of a response came
+	closedUnread bool // the connection was closed before the balancer can have read the request
 }
 
+// crossingTime is how soon after a request was written its connection ends where the balancer closed it before
+// it read the request. Behind that the request has been read.
+const crossingTime = 100 * time.Millisecond
+
 // exchange writes a request and reads its response. The connection is idle or closed afterwards.
-func (c *Clients) exchange(conn *connection, arrival *simulation.Arrival, id string, remaining time.Duration) response {
+func (c *Clients) exchange(conn *connection, arrival *simulation.Arrival, sent outgoing) response {
+	waits := sent.remaining + readGrace
+	if sent.leaveAfter > 0 {
+		waits = sent.leaveAfter
+	}
+	written := time.Now()
 	// A deadline cannot be set only on a closed connection: then the write fails.
-	_ = conn.SetDeadline(time.Now().Add(remaining + readGrace))
-	if _, err := conn.Write(c.encodeRequest(arrival, id, remaining)); err != nil {
+	_ = conn.SetDeadline(written.Add(waits))
+	if _, err := conn.Write(c.encodeRequest(arrival, sent.id, sent.remaining)); err != nil {
 		_ = conn.Close()
 		return response{outcome: Disconnected, closedUnread: true}
 	}
@@ -94,15 +116,18 @@
 			}
 			if message != nil {
 				c.release(conn, message.Close)
-				return classify(message, id)
+				return classify(message, sent.id)
 			}
 		}
 		if err != nil {
 			_ = conn.Close()
-			if isTimeout(err) {
+			switch {
+			case isTimeout(err) && sent.leaveAfter > 0:
+				return response{outcome: Left}
+			case isTimeout(err):
 				return response{outcome: TimedOut}
 			}
-			return response{outcome: Disconnected, closedUnread: !received}
+			return response{outcome: Disconnected, closedUnread: !received && time.Since(written) < crossingTime}
 		}
 	}
 }
--- a/internal/lab/load/clients.go
+++ b/internal/lab/load/clients.go
@@ -30,8 +30,12 @@
 	TimedOut             // without a response
 	Disconnected         // the balancer closed the connection without a response
 	Unreachable          // no balancer accepted it
+	Left                 // its client closed the connection before its deadline
 )
 
+// outcomeCount is the number of outcomes.
+const outcomeCount = Left + 1
+
 // retryable reports whether an attempt with this outcome has certainly not been executed, or may be sent
 // again by a client that cannot know.
 func (o Outcome) retryable() bool { return o == Rejected || o == Unreachable || o == Disconnected }
@@ -45,24 +49,34 @@
 	RequestEnded(id string, outcome Outcome)
 }
 
-// PickBalancer returns the balancer that a client of a zone sends its next attempt to, and its address; it
-// reports false if there is none. It may be called from any goroutine, with an rng of the caller's.
-type PickBalancer func(zone int, rng *rand.Rand) (balancer int, address string, ok bool)
+// Picked is a balancer that an attempt may be sent to.
+type Picked struct {
+	Balancer int
+	Address  string
+	// OnlyOpen is set while the balancer gets no new connections: the attempt may go there on an open one.
+	OnlyOpen bool
+}
+
+// PickBalancer returns the balancer that a client of a zone sends its next attempt to; it reports false if
+// there is none. It may be called from any goroutine, with an rng of the caller's.
+type PickBalancer func(zone int, rng *rand.Rand) (picked Picked, ok bool)
 
-// Clients are the clients of a run. All exported fields are required, and read only.
+// Clients are the clients of a run. All exported fields but MaxIdle are required, and read only.
 type Clients struct {
 	Realization *scenario.Realization
 	Arrivals    []simulation.Arrival // in the order of time
 	Clock       func() time.Duration // the time since the start of the run
 	Pick        PickBalancer
 	Observer    Observer
+	// MaxIdle is how long an idle connection may be reused; 0: a second, since balancers close older ones.
+	MaxIdle time.Duration
 
 	nextID atomic.Uint64
 
 	mu              sync.Mutex // guards what follows
 	goodput         *goodput.Counter
 	lateness        *hdrhistogram.Histogram // of sending after the due time, microseconds
-	outcomes        [Unreachable + 1]int
+	outcomes        [outcomeCount]int
 	retriedOnClose  int
 	attempts        int
 	idleConnections map[string][]*connection // by address, the last used one last
@@ -78,6 +92,7 @@
 	TimedOut       int `json:"Unanswered"`
 	Disconnected   int `json:"Broken"`
 	Unreachable    int `json:"Unreached"`
+	Left           int `json:"Left,omitempty"`
 	RetriedOnClose int `json:"Crossed"` // requests that were sent again: a reused connection was closed under them
 }
 
@@ -120,7 +135,7 @@
 	return Counts{
 		Attempts: c.attempts, Served: c.outcomes[Served], Rejected: c.outcomes[Rejected], Failed: c.outcomes[Failed],
 		TimedOut: c.outcomes[TimedOut], Disconnected: c.outcomes[Disconnected], Unreachable: c.outcomes[Unreachable],
-		RetriedOnClose: c.retriedOnClose,
+		Left: c.outcomes[Left], RetriedOnClose: c.retriedOnClose,
 	}
 }
 
@@ -143,7 +158,7 @@
 		if rng.Float64() < clients.RetryAfterShare {
 			backoff = max(backoff, min(retryAfter, c.Realization.Settings.Limits.MaxRetryAfter))
 		}
-		mayRetry := class.RetrySafety == piernotch.Idempotent || outcome.retryable()
+		mayRetry := outcome != Left && (class.RetrySafety == piernotch.Idempotent || outcome.retryable())
 		attemptsLeft := attemptCount < arrival.MaxAttempts && ctx.Err() == nil
 		inTime := c.Clock()+backoff < expires
 		if !mayRetry || !attemptsLeft || !inTime {
--- a/internal/lab/load/clients_test.go
+++ b/internal/lab/load/clients_test.go
@@ -93,7 +93,7 @@
 	e := &outcomeRecorder{}
 	clients := &Clients{
 		Realization: d, Arrivals: arrivals, Observer: e, Clock: func() time.Duration { return time.Since(started) },
-		Pick: func(int, *rand.Rand) (int, string, bool) { return 0, l.Addr().String(), true },
+		Pick: func(int, *rand.Rand) (Picked, bool) { return Picked{Address: l.Addr().String()}, true },
 	}
 	clients.Run(context.Background())
 	return clients, e
--- a/internal/lab/load/connection.go
+++ b/internal/lab/load/connection.go
@@ -1,7 +1,10 @@
 package load
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -11,8 +14,11 @@
 const (
 	// maxIdleConnections bounds the idle connections to one balancer.
 	maxIdleConnections = 256
-	// maxIdleTime is how long an idle connection may be reused: balancers are about to close older ones.
-	maxIdleTime = time.Second
+	// defaultMaxIdle is how long an idle connection may be reused: balancers are about to close older ones.
+	defaultMaxIdle = time.Second
+	// maxPicks bounds how often a balancer is picked for one attempt: one that gets no new connections may have
+	// no open one.
+	maxPicks = 8
 	// maxResponseSize bounds a response, bytes.
 	maxResponseSize = 1 << 20
 )
@@ -25,25 +31,44 @@
 	idleSince time.Duration // time of the run
 }
 
-// connect returns an idle connection or opens one; with fresh it opens one. It fails when the deadline, a
-// time of the run, is over.
-func (c *Clients) connect(
+// errNoBalancer says that no balancer can be picked.
+var errNoBalancer = errors.New("no balancer")
+
+// connectTo picks a balancer for an attempt and returns an idle connection to it or opens one; with fresh it
+// opens one. It fails when the deadline, a time of the run, is over.
+func (c *Clients) connectTo(
 	ctx context.Context,
-	address string,
+	target attemptTarget,
 	fresh bool,
-	deadline time.Duration,
-) (*connection, error) {
-	if !fresh {
-		if conn := c.takeIdle(address); conn != nil {
-			return conn, nil
+	rng *rand.Rand,
+) (*connection, Picked, error) {
+	for range maxPicks {
+		picked, ok := c.Pick(target.zone, rng)
+		if !ok {
+			break
 		}
+		if !fresh {
+			if conn := c.takeIdle(picked.Address); conn != nil {
+				return conn, picked, nil
+			}
+		}
+		if picked.OnlyOpen {
+			continue
+		}
+		dialer := net.Dialer{Timeout: max(target.deadline-c.Clock(), time.Millisecond)}
+		conn, err := dialer.DialContext(ctx, "tcp", picked.Address)
+		if err != nil {
+			return nil, picked, err
+		}
+		return &connection{Conn: conn, parser: http1.NewResponseParser(maxResponseSize)}, picked, nil
 	}
-	dialer := net.Dialer{Timeout: max(deadline-c.Clock(), time.Millisecond)}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &connection{Conn: conn, parser: http1.NewResponseParser(maxResponseSize)}, nil
+	return nil, Picked{}, errNoBalancer
+}
+
+// attemptTarget is where an attempt may go, and until when.
+type attemptTarget struct {
+	zone     int
+	deadline time.Duration // time of the run
 }
 
 // takeIdle returns the idle connection that was used last, and closes those that are too old. It returns
@@ -51,11 +76,12 @@
 func (c *Clients) takeIdle(address string) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maxIdle := cmp.Or(c.MaxIdle, defaultMaxIdle)
 	for pool := c.idleConnections[address]; len(pool) > 0; {
 		last := pool[len(pool)-1]
 		pool = pool[:len(pool)-1]
 		c.idleConnections[address] = pool
-		if c.Clock()-last.idleSince < maxIdleTime {
+		if c.Clock()-last.idleSince < maxIdle {
 			return last
 		}
 		_ = last.Close()
--- a/internal/lab/load/malformed.go
+++ b/internal/lab/load/malformed.go
@@ -51,13 +51,13 @@
 			return
 		case <-time.After(time.Duration(rng.ExpFloat64() / perSec * float64(time.Second))):
 		}
-		_, address, ok := m.Pick(0, rng)
-		if !ok {
+		picked, ok := m.Pick(0, rng)
+		if !ok || picked.OnlyOpen {
 			continue
 		}
 		kind := &malformedKinds[rng.IntN(len(malformedKinds))]
 		clients.Go(func() { // ends with its timeout at the latest
-			answered, served := m.play(ctx, kind, address, fmt.Sprintf("rude-%x-%d", seed, number))
+			answered, served := m.play(ctx, kind, picked.Address, fmt.Sprintf("rude-%x-%d", seed, number))
 			if ctx.Err() == nil || answered { // one that was ended early says nothing
 				m.count(kind.name, answered, served)
 			}
--- a/internal/lab/load/malformed_test.go
+++ b/internal/lab/load/malformed_test.go
@@ -41,7 +41,7 @@
 		}()
 		clients := &MalformedClients{
 			Timeout: 200 * time.Millisecond,
-			Pick:    func(int, *rand.Rand) (int, string, bool) { return 0, l.Addr().String(), true },
+			Pick:    func(int, *rand.Rand) (Picked, bool) { return Picked{Address: l.Addr().String()}, true },
 		}
 		for kind := range malformedKinds {
 			answered, served := clients.play(t.Context(), &malformedKinds[kind], l.Addr().String(), "id")
--- a/internal/lab/loadtest/balancer.go
+++ b/internal/lab/loadtest/balancer.go
@@ -45,7 +45,7 @@
 
 	mu        sync.Mutex    // guards what follows
 	process   *process      // that clients are served by, or the last one
-	routed    bool          // clients are sent to it
+	routing   routing       // how clients use it
 	crash     error         // nil: it has not ended by itself
 	exitedCPU time.Duration // of exited processes
 }
@@ -174,24 +174,26 @@
 	return b.process.stopping
 }
 
-func (b *balancer) isRouted() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.routed
-}
+// routing is how clients use a balancer.
+type routing uint8
+
+const (
+	notRouted           routing = iota
+	openConnectionsOnly         // clients open no new connections, and send on the open ones
+	routed
+)
 
-// route has clients sent to the balancer.
-func (b *balancer) route() {
+func (b *balancer) currentRouting() routing {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.routed = true
+	return b.routing
 }
 
-// unroute has no clients sent to the balancer any more.
-func (b *balancer) unroute() {
+// route sets how clients use the balancer.
+func (b *balancer) route(how routing) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.routed = false
+	b.routing = how
 }
 
 // crashError returns how the balancer ended by itself; nil if it did not.
--- a/internal/lab/loadtest/environment.go
+++ b/internal/lab/loadtest/environment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -66,7 +67,9 @@
 			return ErrLinkFaultsWithSharedWatch
 		}
 		e.proxies = faultproxy.New(e.realization.Seed)
-		e.observer.crossingTime = crossingTimeWithProxies
+		if e.opts.needsServerProxies() {
+			e.observer.crossingTime = crossingTimeWithProxies
+		}
 		e.fleet.Discovery().ServerAddress = func(balancer, server int, address string) string {
 			return e.routeThroughProxy(balancer, chaos.Target(server), address)
 		}
@@ -144,7 +147,7 @@
 	if err := target.start(ctx); err != nil {
 		return err
 	}
-	target.route()
+	target.route(routed)
 	return nil
 }
 
@@ -158,26 +161,29 @@
 
 // pickBalancer picks one of the zone's balancers at random, or of any zone where it has none. It reports
 // false if no balancer is in use. It implements load.PickBalancer.
-func (e *environment) pickBalancer(zone int, rng *rand.Rand) (number int, address string, ok bool) {
-	var sameZone, all []*balancer
+func (e *environment) pickBalancer(zone int, rng *rand.Rand) (picked load.Picked, ok bool) {
+	var sameZone, all []load.Picked
 	for _, candidate := range e.balancers {
-		if !candidate.isRouted() {
+		routing := candidate.currentRouting()
+		if routing == notRouted {
 			continue
 		}
-		all = append(all, candidate)
+		choice := load.Picked{
+			Balancer: candidate.number, Address: candidate.address, OnlyOpen: routing == openConnectionsOnly,
+		}
+		all = append(all, choice)
 		if candidate.zone == zone {
-			sameZone = append(sameZone, candidate)
+			sameZone = append(sameZone, choice)
 		}
 	}
 	candidates := sameZone
-	if len(candidates) == 0 {
+	if !slices.ContainsFunc(candidates, func(choice load.Picked) bool { return !choice.OnlyOpen }) {
 		candidates = all
 	}
 	if len(candidates) == 0 {
-		return 0, "", false
+		return load.Picked{}, false
 	}
-	picked := candidates[rng.IntN(len(candidates))]
-	return picked.number, picked.address, true
+	return candidates[rng.IntN(len(candidates))], true
 }
 
 // stopBalancers ends all balancers that run.
--- a/internal/lab/loadtest/faults.go
+++ b/internal/lab/loadtest/faults.go
@@ -31,7 +31,7 @@
 // routeThroughProxy returns where a balancer reaches an address: the address itself, or that of the proxy
 // before it.
 func (e *environment) routeThroughProxy(balancer int, target chaos.Target, address string) string {
-	if e.proxies == nil {
+	if e.proxies == nil || target != chaos.Discovery && !e.opts.needsServerProxies() {
 		return address
 	}
 	name := linkName(balancer, target)
@@ -65,11 +65,22 @@
 	case e.proxies == nil:
 		discovery.Received(sent.Balancer, sent.Generation)
 		e.observer.EndpointNotified(received)
+	case !e.arrives(sent):
 	default:
 		e.notifyThroughProxy(sent, received)
 	}
 }
 
+// arrives reports whether the connection that a list was written to carries anything.
+func (e *environment) arrives(sent emulator.Notification) bool {
+	arrives := false
+	name := linkName(sent.Balancer, chaos.Discovery)
+	e.proxies.Each(func(other string) bool { return other == name }, func(link *faultproxy.Link) {
+		arrives = link.Carries(sent.Connection)
+	})
+	return arrives
+}
+
 // notifyThroughProxy passes on what was written to a link once it has arrived.
 func (e *environment) notifyThroughProxy(sent emulator.Notification, received notification) {
 	discovery := e.fleet.Discovery()
@@ -118,6 +129,15 @@
 		<-faulted.signal(syscall.SIGKILL)
 		awaitEnd()
 		e.relaunch(ctx, faulted)
+	case chaos.TerminateBalancer:
+		e.terminate(ctx, step)
+	case chaos.ReloadBalancer:
+		for e.clock() < step.End() && ctx.Err() == nil {
+			faulted.signal(syscall.SIGHUP)
+			sleep(ctx, chaos.ReloadInterval)
+		}
+	case chaos.FreezeLink:
+		e.eachLink(step, (*faultproxy.Link).Freeze)
 	case chaos.FlapLink:
 		e.flapLinks(ctx, step)
 	default:
@@ -127,6 +147,53 @@
 	}
 }
 
+// Times of a shutdown as the platform does it.
+const (
+	// shutdownGrace is the time that a balancer has for the last requests, on top of their deadline.
+	shutdownGrace = 700 * time.Millisecond
+	// maxShutdownDeadline bounds the deadline that the platform waits for.
+	maxShutdownDeadline = 3 * time.Second
+	// signalPause is the time between the signals of a series.
+	signalPause = 60 * time.Millisecond
+)
+
+// killDelay returns how soon after SIGTERM the platform may kill a balancer.
+func (e *environment) killDelay() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range e.realization.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, maxShutdownDeadline) + shutdownGrace
+}
+
+// terminate shuts a balancer down, kills it at the earliest moment that the platform may choose, and starts it
+// again. Clients send on the connections that stay open until the kill.
+func (e *environment) terminate(ctx context.Context, step chaos.Step) {
+	target := e.balancers[step.Balancer]
+	kill := time.After(e.killDelay())
+	exited := target.signal(syscall.SIGTERM)
+	if step.SignalSeries {
+		for _, next := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+			sleep(ctx, signalPause)
+			target.signal(next)
+		}
+	}
+	onlyOpen := time.AfterFunc(unrouteDelay, func() { target.route(openConnectionsOnly) })
+	defer onlyOpen.Stop()
+	select {
+	case <-exited:
+	case <-kill:
+		e.observer.BalancerKilledAtLimit(step.Balancer)
+		<-target.signal(syscall.SIGKILL)
+	}
+	onlyOpen.Stop()
+	target.route(notRouted)
+	sleep(ctx, step.End()-e.clock())
+	if ctx.Err() == nil {
+		e.relaunch(ctx, target)
+	}
+}
+
 // setReachable says whether a step's fault keeps its balancer from reaching discovery.
 func (e *environment) setReachable(step chaos.Step, reachable bool) {
 	if step.Target == chaos.Discovery {
--- a/internal/lab/loadtest/loadtest.go
+++ b/internal/lab/loadtest/loadtest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"time"
 
 	"piernotch/internal/lab/chaos"
@@ -32,7 +33,10 @@
 	// Faults are played between the processes. With any fault of a link, every link of a balancer goes
 	// through a proxy.
 	Faults []chaos.Step
-	LogDir string // for configurations and logs; "": a temporary one that is removed
+	Crowd  int // idle clients that rest on each balancer until it ends their connection, and come back
+	// KeepIdle is how long clients keep an idle connection and reuse it; 0: as load.Clients does.
+	KeepIdle time.Duration
+	LogDir   string // for configurations and logs; "": a temporary one that is removed
 }
 
 // withDefaults fills in what is not set and creates the log directory. The caller calls cleanup at the
@@ -54,12 +58,14 @@
 
 // needsProxies reports whether faults of links are to be played.
 func (o Options) needsProxies() bool {
-	for _, step := range o.Faults {
-		if step.Action == chaos.FaultLink || step.Action == chaos.FlapLink {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(o.Faults, func(step chaos.Step) bool { return step.OnLink() })
+}
+
+// needsServerProxies reports whether any of them are of links to servers.
+func (o Options) needsServerProxies() bool {
+	return slices.ContainsFunc(o.Faults, func(step chaos.Step) bool {
+		return step.OnLink() && step.Target != chaos.Discovery
+	})
 }
 
 // Run plays a realization. When the context ends, it ends all that it started and reports what it has. A
@@ -98,8 +104,12 @@
 		Observer:    e.observer,
 		Pick:        e.pickBalancer,
 		Clock:       e.clock,
+		MaxIdle:     e.opts.KeepIdle,
 	}
 	e.fleet.Play(ctx)
+	ctx, endCrowd := context.WithCancel(ctx)
+	defer endCrowd()
+	e.gatherCrowd(ctx)
 	e.scheduleScenarioFaults(ctx)
 	e.scheduleLinkAndProcessFaults(ctx)
 	e.scheduleHandovers(ctx)
--- a/internal/lab/loadtest/observer.go
+++ b/internal/lab/loadtest/observer.go
@@ -47,6 +47,7 @@
 type request struct {
 	sequence uint64 // its number in the checker
 	balancer int
+	sentAt   time.Duration
 	attempts int
 	endedAt  time.Duration // 0: it has not ended
 	paused   bool          // its balancer was paused meanwhile
@@ -88,7 +89,7 @@
 	defer o.mu.Unlock()
 	now := o.clock()
 	o.lastSequence++
-	o.requests[id] = &request{sequence: o.lastSequence, balancer: balancer}
+	o.requests[id] = &request{sequence: o.lastSequence, balancer: balancer, sentAt: now}
 	o.checker.RequestReceived(invariants.ReceivedRequest{
 		At: now, Balancer: invariants.BalancerIndex(balancer), ID: o.lastSequence, Class: class, Deadline: deadline,
 	})
@@ -129,6 +130,12 @@
 		o.checker.ResponseSent(now, sent.sequence, invariants.Failed)
 	case load.Disconnected:
 		o.checker.RequestDropped(now, sent.sequence)
+	case load.Unreachable:
+		if sent.attempts > 0 && !excused { // the connection was closed under it, but it had been read
+			o.checker.RequestDropped(now, sent.sequence)
+			return
+		}
+		o.checker.RequestExcused(now, sent.sequence)
 	default:
 		o.checker.RequestExcused(now, sent.sequence)
 	}
@@ -155,6 +162,24 @@
 	}
 }
 
+// killMargin is how soon before a balancer is killed a request may come that it need not respond to.
+const killMargin = 100 * time.Millisecond
+
+// BalancerKilledAtLimit does what BalancerKilled does for a balancer that had all the time to shut down which the
+// platform gives: the requests that are open at it are lost, unless they came killMargin before at the most.
+func (o *observer) BalancerKilledAtLimit(balancer int) {
+	o.mu.Lock()
+	now := o.clock()
+	for id, sent := range o.requests {
+		if sent.balancer == balancer && sent.endedAt == 0 && now-sent.sentAt > killMargin {
+			o.endLocked(id, sent, now)
+			o.checker.RequestDropped(now, sent.sequence)
+		}
+	}
+	o.mu.Unlock()
+	o.BalancerKilled(balancer)
+}
+
 // BalancerRestarted notes that a balancer starts without any state.
 func (o *observer) BalancerRestarted(balancer int) {
 	o.mu.Lock()
@@ -191,7 +216,7 @@
 }
 
 // AttemptReceived implements emulator.Observer.
-func (o *observer) AttemptReceived(id string, server int) int {
+func (o *observer) AttemptReceived(id string, server int, timeout time.Duration) int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	sent := o.requests[id]
@@ -213,6 +238,7 @@
 		Balancer: invariants.BalancerIndex(sent.balancer),
 		Request:  sent.sequence,
 		Server:   invariants.ServerIndex(server),
+		Timeout:  timeout,
 	})
 	return attemptNumber
 }
--- a/internal/lab/loadtest/report.go
+++ b/internal/lab/loadtest/report.go
@@ -29,7 +29,7 @@
 
 	DiscoveryCalls int `json:"list_calls"`
 	// SlowestNotification is the longest time that a balancer lacked a listed change which it could have had.
-	SlowestNotification time.Duration `json:"slowest_notification_ns"`
+	SlowestNotification time.Duration `json:"slowest_notification_ns,omitempty"`
 
 	Handovers *HandoverReport `json:"handed,omitempty"` // nil: none were played
 
@@ -94,6 +94,7 @@
 		Lost:               checker.Count(invariants.Lost),
 		Repeated:           checker.Count(invariants.Repeated),
 		DrainViolations:    checker.Count(invariants.Drain),
+		DeadlineViolations: checker.Count(invariants.Deadline),
 		SlowStartCollapses: checker.Count(invariants.SlowStart),
 		Violations:         checker.Violations(),
 		DrainLatest:        checker.DrainLatest().Seconds() * 1000,
--- a/internal/lab/loadtest/scenario_faults.go
+++ b/internal/lab/loadtest/scenario_faults.go
@@ -72,7 +72,7 @@
 	})
 	e.at(ctx, fault.At+e.realization.FailoverDelay, func() {
 		if target.isStopping() { // it is not back yet
-			target.unroute()
+			target.route(notRouted)
 		}
 	})
 	e.at(ctx, fault.End(), func() { e.relaunch(ctx, target) })
@@ -81,7 +81,7 @@
 // restart shuts a balancer down gracefully and launches it again.
 func (e *environment) restart(ctx context.Context, fault *scenario.Fault, target *balancer) {
 	exited := target.signal(syscall.SIGTERM)
-	time.AfterFunc(unrouteDelay, target.unroute)
+	time.AfterFunc(unrouteDelay, func() { target.route(notRouted) })
 	select {
 	case <-exited:
 	case <-time.After(restartTimeout):
--- a/internal/lab/simulation/result.go
+++ b/internal/lab/simulation/result.go
@@ -20,6 +20,7 @@
 	Lost               int `json:"lost"`
 	Repeated           int `json:"repeated"`
 	DrainViolations    int `json:"drain_breaks"`
+	DeadlineViolations int `json:"deadline_breaks,omitempty"`
 	SlowStartCollapses int `json:"cold_falls"` // collapses that violate the rule
 	Collapses          int `json:"falls"`      // all collapses
 
@@ -87,9 +88,9 @@
 	State    []uint8   `json:"state"` // 0 up, 1 draining, 2 down, 3 silent, 4 collapsed, 5 in slow start, 6 overloaded
 }
 
-// ViolationCount is how often any of the four rules was violated.
+// ViolationCount is how often any of the rules was violated.
 func (r *Result) ViolationCount() int {
-	return r.Lost + r.Repeated + r.DrainViolations + r.SlowStartCollapses
+	return r.Lost + r.Repeated + r.DrainViolations + r.SlowStartCollapses + r.DeadlineViolations
 }
 
 // quotient is a/b, or 0 where b is 0.
@@ -152,6 +153,7 @@
 	result.Lost = w.checker.Count(invariants.Lost)
 	result.Repeated = w.checker.Count(invariants.Repeated)
 	result.DrainViolations = w.checker.Count(invariants.Drain)
+	result.DeadlineViolations = w.checker.Count(invariants.Deadline)
 	result.SlowStartCollapses = w.checker.Count(invariants.SlowStart)
 	result.Violations = w.checker.Violations()
 	result.DrainLatest = float64(w.checker.DrainLatest()/time.Microsecond) / 1000
--- /dev/null
+++ b/internal/lab/soak/plan.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"piernotch/internal/lab/chaos"
+	"piernotch/internal/lab/scenario"
+)
+
+const (
+	// MinLength is the shortest run that a plan fits in.
+	MinLength = 24 * time.Second
+	// afterOutage is the least time between the end of an outage of discovery and that of the run: a balancer
+	// counts as notified 6 s after the outage, the longest grace of a drain is 2 s, and then a request has to come.
+	afterOutage = 14 * time.Second
+)
+
+// MaxNotification is the longest that a balancer which can reach discovery may lack a change: the wait of a poll
+// that falls silent, and two seconds.
+const MaxNotification = 7 * time.Second
+
+// crowdSockets is the descriptor limit of balancers in a crowd; a crowd fills it.
+const crowdSockets = 256
+
+// Plan is one run.
+type Plan struct {
+	Seed        uint64
+	Realization *scenario.Realization
+	Steps       []chaos.Step
+	Crowd       int           // idle clients at each balancer
+	Sockets     int           // descriptor limit of each balancer; 0: the default
+	KeepIdle    time.Duration // how long clients reuse an idle connection
+	Traits      []string      // what was drawn, in words
+}
+
+// Draw draws the plan of a seed for runs of a length. It fails where the scenario that it draws is not valid.
+func Draw(seed uint64, length time.Duration) (*Plan, error) {
+	if length < MinLength {
+		return nil, fmt.Errorf("a length of %v: at least %v is needed", length, MinLength)
+	}
+	drawn := &draft{rng: scenario.Stream(seed, "soak"), length: length}
+	drawn.drawSettings()
+	drawn.drawFaults()
+	parsed, err := scenario.Parse("soak", []byte(drawn.text.String()))
+	if err != nil {
+		return nil, err
+	}
+	realization, err := parsed.Draw(seed)
+	if err != nil {
+		return nil, err
+	}
+	plan := &Plan{Seed: seed, Realization: realization, Traits: drawn.traits, KeepIdle: 10 * time.Second}
+	if drawn.chance(3) {
+		plan.Crowd, plan.Sockets = crowdSockets, crowdSockets
+		plan.Traits = append(plan.Traits, "a crowd")
+	}
+	plan.Steps, err = chaos.Draw("soak", seed, chaos.Size{
+		Balancers: len(realization.Balancers),
+		Servers:   len(realization.Servers),
+		Length:    length,
+		Steps:     2 + drawn.rng.IntN(2*len(realization.Balancers)),
+	})
+	return plan, err
+}
+
+// draft is a scenario's text under construction.
+type draft struct {
+	rng    *rand.Rand
+	length time.Duration
+	text   strings.Builder
+	traits []string
+}
+
+// chance reports true once in n times.
+func (d *draft) chance(n int) bool { return d.rng.IntN(n) == 0 }
+
+// pick returns one of the values.
+func pick[T any](d *draft, values ...T) T { return values[d.rng.IntN(len(values))] }
+
+// between draws a number.
+func (d *draft) between(low, high float64) float64 { return low + d.rng.Float64()*(high-low) }
+
+func (d *draft) line(format string, args ...any) { fmt.Fprintf(&d.text, format+"\n", args...) }
+
+func (d *draft) trait(format string, args ...any) {
+	d.traits = append(d.traits, fmt.Sprintf(format, args...))
+}
+
+// drawSettings draws what operators set, and the traffic.
+func (d *draft) drawSettings() {
+	d.line("include = \"base\"\nlength_s = %.0f", d.length.Seconds())
+	balancers, servers := 2+d.rng.IntN(4), 6+d.rng.IntN(7)
+	d.line("[balancers]\ncount = %d\nsecond_copies = %t\nmax_attempts = %d", balancers, !d.chance(3), 2+d.rng.IntN(3))
+	d.line("[fleet]\nservers = %d\ncell_size = 3", servers)
+	rate := pick(d, 1.0, 4.0, 15.0) * float64(balancers)
+	d.line("[traffic]\nrate_per_s = %.1f", rate)
+	impatient := pick(d, 0, 0, 0.2)
+	d.line("[clients]\nimpatient = %.1f\nretries = %.1f\nbackoff_ms = %d", impatient, d.between(0, 3), pick(d, 1, 100))
+	push := d.chance(3)
+	d.line("[discovery]\npush = %t\nnotice_s = [0.1, 1]\nadd_s = [0.1, 1]\nperiod_ms = 100\ncalls_per_s = 60", push)
+	grace, interval := pick(d, 500, 1000, 2000), pick(d, 4000, 10000, 60000)
+	d.line("[rules]\ndrain_grace_ms = %d\nask_within_ms = %d", grace, interval)
+	d.line("keepalive_ms = %d", pick(d, 800, 5000, 60000))
+	d.trait("%d balancers, %d servers, %.0f requests a second, pushed %t, grace %d ms, polled within %d ms",
+		balancers, servers, rate, push, grace, interval)
+	d.drawClasses()
+}
+
+// drawClasses draws the classes: their retry safety, work and deadlines.
+func (d *draft) drawClasses() {
+	short := d.chance(2)
+	for _, name := range []string{"segment-read", "pick-submit", "packet-append"} {
+		work, objective := 60, 1200
+		deadline := pick(d, 2500, 5000)
+		if short {
+			work, objective = 15, 200
+			deadline = pick(d, 300, 600, 900)
+		}
+		d.line("[[class]]\nname = %q\nshare = 1\nworth = 5\ndist = \"lognormal\"\ncv = 1\nattempt_cv = 0.2", name)
+		d.line("work_ms = %d\naim_ms = %d\ndeadline_ms = %d", work, objective, deadline)
+		effect := pick(d, "safe", "keyed", "unsafe")
+		d.line("effect = %q", effect)
+		if effect == "keyed" {
+			scope, window := pick(d, "all", "zone", "cell"), pick(d, 600, 2000, 5000)
+			d.line("scope = %q\nwindow_ms = %d", scope, window)
+			effect = fmt.Sprintf("%s in %s for %d ms", effect, scope, window)
+		}
+		d.trait("%s %s, deadline %d ms", name, effect, deadline)
+	}
+}
+
+// fault writes one fault of the scenario.
+func (d *draft) fault(kind string, at, lasts float64, settings string) {
+	d.line("[[trouble]]\nkind = %q\nat_s = %.2f\nfor_s = %.2f\n%s", kind, at, lasts, settings)
+	d.trait("%s at %.1f s for %.1f s", kind, at, lasts)
+}
+
+// drawFaults draws what happens to servers and to discovery. Half of the runs have an outage of discovery with
+// servers that drain about its end.
+func (d *draft) drawFaults() {
+	// The end of the run is left alone, and so is its first second.
+	last := d.length.Seconds() - chaos.RecoveryTime.Seconds()
+	if d.chance(2) {
+		ends := d.between(5, (d.length - afterOutage).Seconds())
+		at := d.between(0.5, ends-2)
+		d.fault(scenario.FaultDiscoveryOutage, at, ends-at, "")
+		drainAt := max(ends+d.between(-3, 1), 0.5)
+		d.fault(scenario.FaultLeave, drainAt, 0.5, "part = 0.3\nramp_s = 30")
+	}
+	for range 1 + d.rng.IntN(3) {
+		at := d.between(1, last-3)
+		switch d.rng.IntN(6) {
+		case 0:
+			d.fault(scenario.FaultReplaceServers, at, d.between(1, 6), "part = 0.3\nramp_s = 4")
+		case 1:
+			d.fault(scenario.FaultRestartServers, at, d.between(1, 6), "part = 0.4\nramp_s = 2")
+		case 2:
+			d.fault(scenario.FaultCrashServers, at, d.between(0.5, 4), "part = 0.2")
+		case 3:
+			d.fault(scenario.FaultUnresponsiveServers, at, d.between(1, 5), "part = 0.2")
+		case 4:
+			d.fault(scenario.FaultCorruptResponses, at, d.between(1, 6), "part = 0.05")
+		default:
+			d.fault(scenario.FaultMalformedClients, at, d.between(1, 6), "size = 20")
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/plan_test.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/lab/chaos"
+)
+
+// Every seed gives a valid plan, the same each time, whose faults leave the service time to recover.
+func TestDrawGivesValidPlans(t *testing.T) {
+	actions := map[chaos.Action]int{}
+	crowds := 0
+	for seed := range uint64(300) {
+		plan, err := Draw(seed, MinLength)
+		require.NoError(t, err, "seed %d", seed)
+		again, err := Draw(seed, MinLength)
+		require.NoError(t, err)
+		require.Equal(t, plan.Steps, again.Steps)
+		require.Equal(t, plan.Traits, again.Traits)
+		require.NotEmpty(t, plan.Steps)
+		for _, step := range plan.Steps {
+			actions[step.Action]++
+			require.LessOrEqual(t, step.End(), MinLength-chaos.RecoveryTime)
+		}
+		if plan.Crowd > 0 {
+			crowds++
+		}
+	}
+	for _, action := range []chaos.Action{
+		chaos.FreezeLink, chaos.FaultLink, chaos.TerminateBalancer, chaos.ReloadBalancer, chaos.PauseBalancer,
+		chaos.KillBalancer,
+	} {
+		require.Greater(t, actions[action], 50, action)
+	}
+	require.Greater(t, crowds, 50)
+}
+
+func TestDrawRejectsShortRuns(t *testing.T) {
+	_, err := Draw(1, MinLength-time.Second)
+	require.ErrorContains(t, err, "at least 24s")
+}
--- a/internal/lab/storednames/names.go
+++ b/internal/lab/storednames/names.go
@@ -85,6 +85,7 @@
 		{"processes", "processes"},
 		{"flaps", "flaps"},
 		{"mixed", "mixed"},
+		{"soak", "soak"},
 	},
 	AttemptStatuses: {
 		{"ok", "ok"},
