--- a/internal/serve/core/shutdown_test.go
+++ b/internal/serve/core/shutdown_test.go
@@ -35,3 +35,29 @@
 		require.True(t, responded, tc.deadline)
 	}
 }
+
+// What clients saw: a request that was open when its balancer was told to end, and whose server hung, never
+// got a response. The platform waits for the longest deadline, but for no more than 3 s; only requests that
+// came after the shutdown had begun were held to that.
+func TestRequestsOpenAtShutdownGetResponseBeforeKill(t *testing.T) {
+	class := newClass("c", piernotch.NonIdempotent)
+	class.Deadline, class.LatencyObjective = 6*time.Second, 6*time.Second
+	c, now := newCoreWithHistory(t, class, piernotch.Limits{MaxAttempts: 1, CancelAttempts: true})
+	request := RequestReceived{Exchange: 1, ID: "1", CostHint: 1, Deadline: now + class.Deadline}
+	attempt := c.Handle(now, request)[0].(StartAttempt)
+	c.Handle(now, AttemptConnected{attempt.Ref})
+	now += 10 * time.Millisecond
+	c.Handle(now, Shutdown{})
+	kill := now + 3700*time.Millisecond
+	var response *Respond
+	for ; now < kill && response == nil; now += TickInterval {
+		for _, effect := range c.Handle(now, Tick{}) {
+			if respond, ok := effect.(Respond); ok {
+				response = &respond
+			}
+		}
+	}
+	require.NotNil(t, response)
+	require.Equal(t, Failed, response.Result, "it may have run")
+	require.Zero(t, c.PendingRequests())
+}
