--- a/internal/serve/core/requests.go
+++ b/internal/serve/core/requests.go
@@ -101,7 +101,12 @@
 	}
 	c.Counts.DeadlineExceeded++
 	slog.Warn("request deadline exceeded", "request", request.id, "attempts", len(request.attempts))
-	c.respond(request, Respond{Result: Failed, LastStatus: request.lastStatus})
+	c.failUnanswered(request, request.lastStatus)
+}
+
+// failUnanswered fails a request in the module's place, which then has nothing more to do for it.
+func (c *Core) failUnanswered(request *request, lastStatus piernotch.Status) {
+	c.respond(request, Respond{Result: Failed, LastStatus: lastStatus})
 	c.balancer.ClientDisconnected(c.now, request.id)
 	c.release(request)
 }
--- a/internal/serve/core/shutdown.go
+++ b/internal/serve/core/shutdown.go
@@ -1,6 +1,13 @@
 package core
 
-import "time"
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"piernotch"
+)
 
 // ShutdownGrace is how long new work is still accepted after a Shutdown: clients learn of it only
 // some time later.
@@ -31,6 +38,18 @@
 		c.stoppedListening = true
 		c.emit(StopListening{})
 	})
+	// Requests that were open before keep their deadline, which may lie behind the kill.
+	c.timers.At(c.respondBy+overdueMargin, c.failPending)
+}
+
+// failPending fails all requests without a response: the platform may kill the process any moment now.
+func (c *Core) failPending() {
+	for _, exchange := range slices.Sorted(maps.Keys(c.exchanges)) {
+		request := c.exchanges[exchange]
+		slog.Info("request failed before the kill", "id", request.clientID, "attempts", len(request.attempts),
+			"remaining_ms", (request.deadline - c.now).Milliseconds())
+		c.failUnanswered(request, piernotch.Timeout)
+	}
 }
 
 // longestDeadline returns the longest deadline of any class, from the receipt of a request.
