--- a/internal/serve/core/events.go
+++ b/internal/serve/core/events.go
@@ -74,6 +74,7 @@
 	EndpointUpdate struct {
 		Kind      piernotch.UpdateKind
 		Endpoints []DiscoveredEndpoint
+		Since     time.Duration // of a delta: the list did not hold these changes then; 0: that is not known
 	}
 	// Tick reports that time has passed. It is what makes timers fire.
 	Tick struct{}
