--- a/internal/serve/core/core.go
+++ b/internal/serve/core/core.go
@@ -29,6 +29,7 @@
 
 	servers        map[piernotch.ServerID]*server
 	serversByName  map[string]*server
+	starts         startTimes
 	endpointsKnown bool
 	discovery      string // address
 	healthChecks   map[piernotch.ServerID]*timingwheel.Timer
@@ -67,6 +68,7 @@
 		openClientIDs: map[string]struct{}{},
 		servers:       map[piernotch.ServerID]*server{},
 		serversByName: map[string]*server{},
+		starts:        startTimes{byName: map[string]serverStart{}},
 		discovery:     options.Discovery,
 		healthChecks:  map[piernotch.ServerID]*timingwheel.Timer{},
 		processID:     options.ProcessID,
--- a/internal/serve/core/endpoints.go
+++ b/internal/serve/core/endpoints.go
@@ -12,13 +12,13 @@
 
 // server is an entry of the endpoint table.
 type server struct {
-	id        piernotch.ServerID
-	name      string
-	address   string
-	state     piernotch.State
-	startedAt time.Duration
-	excluded  bool               // by operators
-	listed    DiscoveredEndpoint // as discovery listed it last
+	id       piernotch.ServerID
+	name     string
+	address  string
+	state    piernotch.State
+	start    serverStart
+	excluded bool               // by operators
+	listed   DiscoveredEndpoint // as discovery listed it last
 }
 
 func (s *server) endpoint() Endpoint { return Endpoint{s.id, s.address} }
@@ -47,12 +47,13 @@
 	listed := make(map[string]bool, len(event.Endpoints))
 	for _, endpoint := range event.Endpoints {
 		listed[endpoint.Name] = true
-		entries = append(entries, c.updateServer(endpoint))
+		entries = append(entries, c.updateServer(endpoint, event.Since))
 	}
 	if event.Kind != piernotch.UpdateDelta {
 		c.markUnlistedGone(listed)
 	}
 	gone := c.removeGone()
+	c.starts.forgetUnlisted(func(name string) bool { return c.serversByName[name] != nil })
 	c.balancer.UpdateEndpoints(c.now, event.Kind, entries)
 	// The module need not keep excluding a server that is gone. The override remains: it applies to
 	// the name, which may be listed again.
@@ -63,8 +64,9 @@
 	}
 }
 
-// updateServer enters a listed endpoint into the table and returns it as the module takes it.
-func (c *Core) updateServer(listed DiscoveredEndpoint) piernotch.Endpoint {
+// updateServer enters a listed endpoint into the table and returns it as the module takes it. The list did not
+// hold the entry at absentAt; 0: that is not known.
+func (c *Core) updateServer(listed DiscoveredEndpoint, absentAt time.Duration) piernotch.Endpoint {
 	server := c.serversByName[listed.Name]
 	if server == nil {
 		server = c.addServer(listed.Name)
@@ -72,16 +74,17 @@
 	// Idle connections to a server that has moved, has restarted or is draining are of no use, and a
 	// machine that has failed does not close them.
 	isNew := server.address == ""
-	replaced := server.address != listed.Address || server.startedAt != listed.Endpoint.StartedAt
+	replaced := server.address != listed.Address || server.start.listed != listed.Endpoint.StartedAt
 	if !isNew && (replaced || listed.Endpoint.State != piernotch.Ready) {
 		c.emit(CloseIdle{server.endpoint()})
 	}
 	server.listed = listed
 	server.address = listed.Address
 	server.state = listed.Endpoint.State
-	server.startedAt = listed.Endpoint.StartedAt
+	server.start = c.starts.convert(listed.Name, listed.Endpoint.StartedAt, c.now, absentAt)
 	entry := listed.Endpoint
 	entry.ID = server.id
+	entry.StartedAt = server.start.at
 	return entry
 }
 
