--- a/internal/serve/discovery/watcher.go
+++ b/internal/serve/discovery/watcher.go
@@ -258,7 +258,8 @@
 			w.writePoll()
 		}
 	}
-	w.loop.Dial(w.address, dialTimeout, opened, done)
+	target := eventloop.Target{Address: w.address, Timeout: dialTimeout, Kind: eventloop.ReservedDial}
+	w.loop.Dial(target, opened, done)
 }
 
 // writePoll writes the poll's request on the open connection.
--- a/internal/serve/eventloop/loop_test.go
+++ b/internal/serve/eventloop/loop_test.go
@@ -80,7 +80,8 @@
 			l, err := New(64)
 			require.NoError(t, err)
 			h := newRecordingHandler()
-			l.Dial(listener.Addr().String(), time.Second, func(*Conn) Handler { return h }, func(_ *Conn, err error) {
+			target := Target{Address: listener.Addr().String(), Timeout: time.Second}
+			l.Dial(target, func(*Conn) Handler { return h }, func(_ *Conn, err error) {
 				if err != nil {
 					h.end <- err
 				}
@@ -185,7 +186,8 @@
 	require.NoError(t, listener.Listen("127.0.0.1:0"))
 	stop := startLoop(t, l, func() {})
 	dialed := make(chan error, 1)
-	l.Dial(listener.Addr(), time.Second, newHandler, func(_ *Conn, err error) { dialed <- err })
+	target := Target{Address: listener.Addr(), Timeout: time.Second}
+	l.Dial(target, newHandler, func(_ *Conn, err error) { dialed <- err })
 	require.NoError(t, <-dialed)
 	for range 2 {
 		c, noDelay := <-opened, make(chan int, 1)
@@ -203,3 +205,29 @@
 	stop()
 	listener.Stop()
 }
+
+// Where connections to servers have used up all descriptors, those that are reserved are left for the watch of
+// the endpoint list: without it servers that drain would not be known, and their connections would stay.
+func TestReservedDialConnectsWhereDescriptorsAreShort(t *testing.T) {
+	l, err := New(ReservedDescriptors + 1)
+	require.NoError(t, err)
+	newHandler := func(*Conn) Handler { return newRecordingHandler() }
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = peer.Close() }()
+	stop := startLoop(t, l, func() {})
+	defer stop()
+	dial := func(kind DialKind) error {
+		dialed := make(chan error, 1)
+		l.Post(func() {
+			l.Dial(Target{Address: peer.Addr().String(), Timeout: time.Second, Kind: kind}, newHandler,
+				func(_ *Conn, err error) { dialed <- err })
+		})
+		return <-dialed
+	}
+	for range 1 + dialOvershoot {
+		require.NoError(t, dial(OrdinaryDial))
+	}
+	require.ErrorIs(t, dial(OrdinaryDial), ErrDescriptorsExhausted)
+	require.NoError(t, dial(ReservedDial))
+}
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -92,7 +92,8 @@
 		connection.lastActivity = p.upstream.now()
 		p.release(connection)
 	}
-	p.upstream.loop.Dial(p.endpoint.Address, p.upstream.dialTimeout, opened, done)
+	target := eventloop.Target{Address: p.endpoint.Address, Timeout: p.upstream.dialTimeout}
+	p.upstream.loop.Dial(target, opened, done)
 }
 
 // dialFailed fails the attempt that has waited longest: the dial was for it.
--- a/internal/serve/upstream/timeouts_test.go
+++ b/internal/serve/upstream/timeouts_test.go
@@ -128,6 +128,12 @@
 
 // startAttempt starts an attempt, and returns it once it has a connection and its request was written.
 func (f *fixture) startAttempt() core.AttemptRef {
+	f.t.Helper()
+	return f.startAttemptWithin(time.Hour)
+}
+
+// startAttemptWithin does so for an attempt with a timeout.
+func (f *fixture) startAttemptWithin(timeout time.Duration) core.AttemptRef {
 	f.t.Helper()
 	f.attempts++
 	ref := core.AttemptRef{Request: piernotch.RequestID(f.attempts)}
@@ -135,7 +141,7 @@
 		f.upstream.StartAttempt(core.StartAttempt{
 			Ref:     ref,
 			To:      f.endpoint(),
-			Timeout: time.Hour,
+			Timeout: timeout,
 			Message: &core.RequestMessage{Method: "GET", Target: "/", ID: "1"},
 		})
 	})
@@ -164,13 +170,21 @@
 // request reads a request and returns its first line.
 func (c *serverConnection) request() string {
 	c.t.Helper()
-	first, err := c.reader.ReadString('\n')
-	require.NoError(c.t, err)
-	for line := first; line != "\r\n"; {
-		line, err = c.reader.ReadString('\n')
+	return c.requestHead()[0]
+}
+
+// requestHead reads a request and returns the lines of its head.
+func (c *serverConnection) requestHead() []string {
+	c.t.Helper()
+	var head []string
+	for {
+		line, err := c.reader.ReadString('\n')
 		require.NoError(c.t, err)
+		if line == "\r\n" {
+			return head
+		}
+		head = append(head, strings.TrimSpace(line))
 	}
-	return strings.TrimSpace(first)
 }
 
 // respond sends text.
@@ -306,3 +320,16 @@
 	used.respond(emptyResponse)
 	require.Equal(t, core.AttemptCompleted{Ref: other, Response: &core.ResponseMessage{}}, <-f.events)
 }
+
+// A server that is told no deadline may work on a request for as long as it likes. So one is always told, also
+// where less than the unit of the header is left.
+func TestServerIsAlwaysToldADeadline(t *testing.T) {
+	for told, timeout := range map[string]time.Duration{
+		"X-Deadline-Ms: 1":  300 * time.Microsecond,
+		"X-Deadline-Ms: 20": 20*time.Millisecond + 900*time.Microsecond,
+	} {
+		f := newFixture(t)
+		f.startAttemptWithin(timeout)
+		require.Contains(t, f.accept().requestHead(), told)
+	}
+}
