--- a/internal/serve/eventloop/dial.go
+++ b/internal/serve/eventloop/dial.go
@@ -25,8 +25,9 @@
 	Kind    DialKind
 }
 
-// Dial connects to a target and calls done, on the owning goroutine and never before it returns. newHandler is called there before, once the connection is up; done gets the connection
-// or an error, ErrDescriptorsExhausted among them. Dial is for the owning goroutine.
+// Dial connects to a target and calls done, on the owning goroutine and never before it returns. newHandler is
+// called there before, once the connection is up; done gets the connection or an error, ErrDescriptorsExhausted
+// among them. Dial is for the owning goroutine.
 //
 // The connection is dialed by package net, and passed to nbio once it is up: nbio's own asynchronous
 // dial reports a refused connection as established, and its timeout may fire on a connection that is
