--- a/internal/lab/loganalysis/loganalysis_test.go
+++ b/internal/lab/loganalysis/loganalysis_test.go
@@ -18,6 +18,23 @@
 	return dir
 }
 
+// A log that is not at level debug has updates of servers, and no attempts.
+func TestSummarizeReadsLogWithoutAttempts(t *testing.T) {
+	dir := writeLogs(t, map[string]string{
+		"n1": `time=2026-12-01T20:00:00.500Z level=INFO msg="endpoint update" server=s-1 address=127.0.0.1:1 state=1
+time=2026-12-01T20:00:01.500Z level=INFO msg="attempt unsuccessful" id=aa attempt=0 server=127.0.0.1:1 status=503
+`,
+	})
+	report, err := Summarize(dir, 2)
+	require.NoError(t, err)
+	require.Len(t, report.Servers, 1)
+	require.Zero(t, report.Servers[0].Attempts)
+	require.Zero(t, report.Servers[0].PeakBalancers)
+	found, err := Follow(dir, "aa")
+	require.NoError(t, err)
+	require.Len(t, found, 1)
+}
+
 func TestFollowAndSummarizeReadAllBalancers(t *testing.T) {
 	dir := writeLogs(t, map[string]string{
 		"n1": `0.5 time=2026-12-01T20:00:00.500Z level=INFO msg="endpoint update" server=s-1 address=127.0.0.1:1 state=0
--- a/internal/lab/loganalysis/summarize.go
+++ b/internal/lab/loganalysis/summarize.go
@@ -144,8 +144,11 @@
 
 // findPeak finds the window, in seconds, in which the server was sent most attempts.
 func (s *Server) findPeak(window float64) {
-	slices.SortFunc(s.attempts, func(a, b attempt) int { return cmp.Compare(a.time, b.time) })
 	s.Attempts = len(s.attempts)
+	if s.Attempts == 0 { // single attempts are logged at level debug alone
+		return
+	}
+	slices.SortFunc(s.attempts, func(a, b attempt) int { return cmp.Compare(a.time, b.time) })
 	first, peakEnd := 0, 0 // of the window, and the last attempt of the peak
 	for i, last := range s.attempts {
 		for last.time-s.attempts[first].time >= window {
