--- a/internal/serve/discovery/watcher.go
+++ b/internal/serve/discovery/watcher.go
@@ -23,18 +23,14 @@
 	// response by then.
 	silenceGrace = time.Second
 
-	// A poll that replaces a silent one only has to show whether the service responds:
-	// replacementWait is how long the service may hold it without a change, and
-	// replacementTimeout when it counts as silent, too. maxReplacements follow a
-	// silent poll before the watch fails.
-	replacementWait    = 250 * time.Millisecond
-	replacementTimeout = time.Second
-	maxReplacements    = 2
-
-	// listTimeout bounds a poll for the complete list, to which the service responds
-	// at once. One that has too many callers gives each up after 3 s; to ask again
-	// before that would only add to its callers.
-	listTimeout = 3500 * time.Millisecond
+	// replacementWait is how long the service may hold a poll that replaces a silent
+	// one: such a poll only has to show whether the service responds.
+	replacementWait = 250 * time.Millisecond
+
+	// crowdedTimeout bounds a poll to which the service responds at once. One that has
+	// too many callers gives each up after 3 s; to ask again before that would only
+	// add to its callers.
+	crowdedTimeout = 3500 * time.Millisecond
 
 	dialTimeout = time.Second
 
@@ -57,6 +53,12 @@
 	restartDelay = 200 * time.Millisecond
 )
 
+// replacementTimeouts are after what time the polls that replace a silent one, in turn,
+// count as silent, too. Behind the last the watch fails. The first leaves time for
+// another before the service counts a change as delivered; if that one has no response
+// either, the service may be slow and not silent.
+var replacementTimeouts = [...]time.Duration{time.Second, crowdedTimeout}
+
 var (
 	errUnsolicitedData = errors.New("data received while no response was due")
 	errClosedByServer  = errors.New("closed by the discovery service")
@@ -184,7 +186,7 @@
 // replaceOrFail makes the poll in flight anew on a new connection, or fails the
 // watch if that has been tried often enough.
 func (w *Watcher) replaceOrFail(err error) {
-	if w.replacements >= maxReplacements {
+	if w.replacements >= len(replacementTimeouts) {
 		w.fail(err)
 		return
 	}
@@ -283,9 +285,9 @@
 func (w *Watcher) pollTimeout() time.Duration {
 	switch {
 	case w.needsReset:
-		return listTimeout
+		return crowdedTimeout
 	case w.replacements > 0:
-		return replacementTimeout
+		return replacementTimeouts[w.replacements-1]
 	}
 	return watchWait + silenceGrace
 }
--- a/internal/serve/discovery/watcher_test.go
+++ b/internal/serve/discovery/watcher_test.go
@@ -119,7 +119,9 @@
 	body := emptyList(generation, false)
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	require.NoError(c.t, err)
-	require.Equal(c.t, core.EndpointUpdate{Kind: piernotch.UpdateDelta}, <-c.events)
+	update := (<-c.events).(core.EndpointUpdate)
+	require.Equal(c.t, piernotch.UpdateDelta, update.Kind)
+	require.Empty(c.t, update.Endpoints)
 	c.do(func() {}) // the next poll is scheduled behind the event
 }
 
@@ -156,22 +158,22 @@
 	require.Equal(t, pollOf(6), connection.poll())
 }
 
-// A poll that times out is repeated at once on a new connection. The watch fails if maxReplacements time
-// out, too, and is started again by the balancer.
+// A poll that times out is repeated at once on a new connection. The watch fails if all replacements time out,
+// too, and is started again by the balancer.
 func TestSilentPollIsReplacedBeforeTheWatchFails(t *testing.T) {
 	f := newFixture(t)
 	f.do(f.watcher.Watch)
 	silent := f.accept()
 	require.Equal(t, pollOf(5), silent.poll())
 	timeout := watchWait + silenceGrace
-	for range maxReplacements {
+	for _, next := range replacementTimeouts {
 		f.advance(timeout)
 		require.Empty(t, f.events)
 		f.advance(shortTime)
 		silent.requireClosed()
 		silent = f.accept()
 		require.Equal(t, replacementOf(5), silent.poll())
-		timeout = replacementTimeout
+		timeout = next
 	}
 	f.advance(timeout)
 	require.Empty(t, f.events)
@@ -184,6 +186,48 @@
 	require.Equal(t, pollOf(5), f.accept().poll())
 }
 
+// What a response brings cannot have been there before the poll, if the service has held that; if it has
+// responded at once, not before the last response.
+func TestUpdateSaysSinceWhenItCanHaveBeenListed(t *testing.T) {
+	f := newFixture(t)
+	f.do(f.watcher.Watch)
+	connection := f.accept()
+	connection.poll()
+	respond := func() time.Duration {
+		body := emptyList(6, false)
+		_, err := fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		require.NoError(t, err)
+		since := (<-f.events).(core.EndpointUpdate).Since
+		f.do(func() {})
+		return since
+	}
+	now := func() time.Duration { return time.Duration(f.clock.Load()) }
+	require.Zero(t, respond(), "nothing is known of the list before")
+	first := now()
+	f.advance(minPollInterval)
+	connection.poll()
+	require.Equal(t, first, respond())
+	f.advance(minPollInterval)
+	connection.poll()
+	f.advance(watchWait)
+	require.Equal(t, now()-promptResponse, respond())
+}
+
+// A service that is slow and not silent, as one with many callers is, still gets its response through.
+func TestSlowServiceRespondsToLastReplacement(t *testing.T) {
+	f := newFixture(t)
+	f.do(f.watcher.Watch)
+	f.accept().poll()
+	f.advance(watchWait + silenceGrace + shortTime)
+	f.accept().poll()
+	f.advance(replacementTimeouts[0] + shortTime)
+	slow := f.accept()
+	slow.poll()
+	f.advance(3 * time.Second)
+	slow.respond(6)
+	require.Empty(t, f.events)
+}
+
 // Once a replacement has its response, the next poll waits as long as any, on the same connection.
 func TestWatchGoesOnAfterReplacedPoll(t *testing.T) {
 	f := newFixture(t)
@@ -205,7 +249,7 @@
 	f.do(func() { f.watcher.Move(f.service.Addr().String()) })
 	first := f.accept()
 	require.Equal(t, listPath, first.poll())
-	f.advance(listTimeout + shortTime)
+	f.advance(crowdedTimeout + shortTime)
 	first.requireClosed()
 	require.Equal(t, listPath, f.accept().poll())
 	require.Empty(t, f.events)
