--- a/internal/serve/eventloop/loop_test.go
+++ b/internal/serve/eventloop/loop_test.go
@@ -38,12 +38,15 @@
 	}
 }
 
-func (m *mailbox) empty() bool {
+// waiting returns the number of messages that the owner has not taken.
+func (m *mailbox) waiting() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.messages) == 0
+	return len(m.messages)
 }
 
+func (m *mailbox) empty() bool { return m.waiting() == 0 }
+
 // What a server sent before it closed the connection is received completely, and the end is reported as
 // it was, also where all of it waits when the poller first reads.
 func TestCloseIsReportedAfterAllData(t *testing.T) {
@@ -163,7 +166,9 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	require.NoError(t, peers[1].Close())
-	time.Sleep(20 * time.Millisecond)
+	// Two requests and a close wait for the owner, however long the poller takes to read them.
+	require.Eventually(t, func() bool { return l.mailbox.waiting() == 3 }, 10*time.Second, time.Millisecond)
+	time.Sleep(stallThreshold)
 	close(resume)
 	require.Eventually(t, func() bool { return len(log.all()) > 2 }, 10*time.Second, time.Millisecond)
 	stop()
