--- a/internal/serve/downstream/fixture_test.go
+++ b/internal/serve/downstream/fixture_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,20 +13,16 @@
 	"piernotch"
 	"piernotch/internal/serve/core"
 	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/servetest"
 )
 
-// testTimeout bounds every wait for a socket; no test depends on how long one takes.
-const testTimeout = 20 * time.Second
-
 // fixture is a Downstream on an event loop of its own, whose clock the test sets.
 type fixture struct {
+	*servetest.Loop
 	t          *testing.T
-	loop       *eventloop.Loop
 	listener   *eventloop.Listener
 	downstream *Downstream
-	clock      atomic.Int64
 	accepted   chan *observedHandler
-	events     chan core.Event
 }
 
 // observedHandler reports when its connection has received data.
@@ -45,74 +39,50 @@
 // newFixture starts a Downstream that accepts clients until the test ends.
 func newFixture(t *testing.T, maxDescriptors int) *fixture {
 	t.Helper()
-	loop, err := eventloop.New(256)
-	require.NoError(t, err)
-	f := &fixture{t: t, loop: loop, accepted: make(chan *observedHandler, 64), events: make(chan core.Event, 64)}
-	f.clock.Store(int64(time.Hour))
-	now := func() time.Duration { return time.Duration(f.clock.Load()) }
-	f.downstream = New(func(event core.Event) { f.events <- event }, now, func() bool { return true }, maxDescriptors)
+	f := &fixture{t: t, accepted: make(chan *observedHandler, 64), Loop: servetest.NewLoop(t)}
+	f.downstream = New(f.Emit, f.Now, func() bool { return true }, maxDescriptors)
 	f.downstream.SetRoutes(
 		[]core.Route{{Name: "read", Idempotent: true}},
 		[]time.Duration{time.Minute},
 		[]piernotch.Tenant{},
 	)
-	f.listener = loop.ClientListener(func(socket *eventloop.Conn) eventloop.Handler {
+	f.listener = f.ClientListener(func(socket *eventloop.Conn) eventloop.Handler {
 		handler := &observedHandler{Handler: f.downstream.Accepted(socket), received: make(chan int, 64)}
 		f.accepted <- handler
 		return handler
 	})
 	require.NoError(t, f.listener.Listen("127.0.0.1:0"))
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() { // ends with ctx, which the cleanup awaits
-		loop.Run(ctx, core.TickInterval, func() {})
-		close(ended)
-	}()
-	t.Cleanup(func() {
-		f.listener.Stop()
-		stop()
-		<-ended
-	})
+	t.Cleanup(f.listener.Stop)
 	return f
 }
 
-// do runs a function on the loop's owning goroutine and waits for it.
-func (f *fixture) do(call func()) {
-	done := make(chan struct{})
-	f.loop.Post(func() {
-		call()
-		close(done)
-	})
-	<-done
-}
-
 // awaitRead waits until the poller, which reads the sockets, is done with what the clients have sent: until
 // then a connection counts as one with unread input, also where its data was handled.
 func (f *fixture) awaitRead() {
 	f.t.Helper()
 	done := func() bool {
 		empty := true
-		f.do(func() {
+		f.Do(func() {
 			for c := range f.downstream.connections {
 				empty = empty && c.socket.InputEmpty()
 			}
 		})
 		return empty
 	}
-	require.Eventually(f.t, done, testTimeout, time.Millisecond)
+	require.Eventually(f.t, done, servetest.Timeout, time.Millisecond)
 }
 
 // advance lets time pass, and then has the Downstream enforce its timeouts.
 func (f *fixture) advance(by time.Duration) {
 	f.t.Helper()
 	f.awaitRead()
-	f.clock.Add(int64(by))
-	f.do(f.downstream.Tick)
+	f.AdvanceClock(by)
+	f.Do(f.downstream.Tick)
 }
 
 // connectionCount returns how many connections are open.
 func (f *fixture) connectionCount() (count int) {
-	f.do(func() { count = f.downstream.ConnectionCount() })
+	f.Do(func() { count = f.downstream.ConnectionCount() })
 	return count
 }
 
@@ -130,9 +100,9 @@
 	conn, err := net.Dial("tcp", f.listener.Addr())
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = conn.Close() })
-	require.NoError(f.t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	require.NoError(f.t, conn.SetDeadline(time.Now().Add(servetest.Timeout)))
 	client := &testClient{fixture: f, Conn: conn, reader: bufio.NewReader(conn), handler: <-f.accepted}
-	f.do(func() {}) // the connection is registered behind the call of the handler's constructor
+	f.Do(func() {}) // the connection is registered behind the call of the handler's constructor
 	return client
 }
 
@@ -161,7 +131,7 @@
 func (c *testClient) requireOpen() {
 	c.t.Helper()
 	closing := true
-	c.do(func() { closing = c.handler.Handler.(*connection).closing })
+	c.Do(func() { closing = c.handler.Handler.(*connection).closing })
 	require.False(c.t, closing)
 }
 
--- a/internal/serve/downstream/shedding_test.go
+++ b/internal/serve/downstream/shedding_test.go
@@ -11,7 +11,7 @@
 	f := newFixture(t, 256)
 	pending := f.connect()
 	pending.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\n\r\n")
-	<-f.events
+	<-f.Events
 	idle := f.connect()
 	idle.checkHealth()
 	partial := f.connect()
@@ -22,7 +22,7 @@
 	}
 	f.advance(shedMinPartial) // the longest of the minimum ages
 
-	f.do(f.downstream.Shed)
+	f.Do(f.downstream.Shed)
 	for _, client := range silent {
 		client.requireClosed()
 	}
@@ -30,7 +30,7 @@
 	idle.requireOpen()
 	require.Equal(t, 2, f.connectionCount())
 
-	f.do(f.downstream.Shed)
+	f.Do(f.downstream.Shed)
 	idle.requireClosed()
 	pending.requireOpen()
 	require.Equal(t, 1, f.connectionCount())
@@ -42,7 +42,7 @@
 	silent, idle := f.connect(), f.connect()
 	idle.checkHealth()
 	f.advance(shedMinSilent - shortTime)
-	f.do(f.downstream.Shed)
+	f.Do(f.downstream.Shed)
 	silent.requireOpen()
 	idle.requireOpen()
 }
--- a/internal/serve/downstream/timeouts_test.go
+++ b/internal/serve/downstream/timeouts_test.go
@@ -58,10 +58,10 @@
 func TestConnectionWithPendingRequestHasNoTimeout(t *testing.T) {
 	client := newFixture(t, 256).connect()
 	client.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\n\r\n")
-	request := (<-client.events).(core.RequestReceived)
+	request := (<-client.Events).(core.RequestReceived)
 	client.advance(time.Hour)
 	client.requireOpen()
-	client.do(func() {
+	client.Do(func() {
 		client.downstream.Respond(core.Respond{Exchange: request.Exchange, Response: &core.ResponseMessage{}})
 	})
 	require.Equal(t, http.StatusOK, client.status())
@@ -84,7 +84,7 @@
 func TestResponseClosesConnectionWhileDraining(t *testing.T) {
 	client := newFixture(t, 256).connect()
 	client.checkHealth()
-	client.do(client.downstream.StartDraining)
+	client.Do(client.downstream.StartDraining)
 	client.advance(shortTime)
 	client.requireOpen()
 	client.checkHealth()
@@ -95,7 +95,7 @@
 // for drainIdleGrace.
 func TestIdleConnectionIsClosedAfterDrainGrace(t *testing.T) {
 	f := newFixture(t, 256)
-	f.do(f.downstream.StartDraining)
+	f.Do(f.downstream.StartDraining)
 	f.advance(drainIdleGrace - newConnectionGrace)
 	client := f.connect()
 	f.advance(newConnectionGrace)
--- /dev/null
+++ b/internal/serve/servetest/peer.go
@@ -0,0 +1,66 @@
+package servetest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Listen opens a socket on loopback that is closed when the test ends.
+func Listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// Peer is the test's side of a connection.
+type Peer struct {
+	net.Conn
+	t      *testing.T
+	reader *bufio.Reader
+}
+
+// Accept accepts the connection that the tested package opens next.
+func Accept(t *testing.T, listener net.Listener) *Peer {
+	t.Helper()
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(Timeout)))
+	return &Peer{Conn: conn, t: t, reader: bufio.NewReader(conn)}
+}
+
+// RequestHead reads a request without a body and returns the lines of its head.
+func (p *Peer) RequestHead() []string {
+	p.t.Helper()
+	var head []string
+	for {
+		line, err := p.reader.ReadString('\n')
+		require.NoError(p.t, err)
+		if line == "\r\n" {
+			return head
+		}
+		head = append(head, strings.TrimSpace(line))
+	}
+}
+
+// Send sends text.
+func (p *Peer) Send(text string) {
+	p.t.Helper()
+	_, err := io.WriteString(p.Conn, text)
+	require.NoError(p.t, err)
+}
+
+// RequireClosed waits until the tested package has closed the connection.
+func (p *Peer) RequireClosed() {
+	p.t.Helper()
+	_, err := p.reader.ReadByte()
+	require.ErrorIs(p.t, err, io.EOF)
+}
--- a/internal/serve/upstream/timeouts_test.go
+++ b/internal/serve/upstream/timeouts_test.go
@@ -1,12 +1,7 @@
 package upstream
 
 import (
-	"bufio"
-	"context"
-	"io"
 	"net"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,14 +9,10 @@
 
 	"piernotch"
 	"piernotch/internal/serve/core"
-	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/servetest"
 )
 
 const (
-	// testTimeout bounds every wait for a socket; no test depends on how long one takes.
-	testTimeout = 20 * time.Second
-	// shortTime is less than any timeout.
-	shortTime = time.Millisecond
 	// testKeepAlive is after what time servers are said to close an idle connection.
 	testKeepAlive = 4 * time.Second
 
@@ -32,11 +23,9 @@
 // fixture is an Upstream on an event loop of its own, whose clock the test sets, and one server, which
 // the test plays.
 type fixture struct {
+	*servetest.Loop
 	t        *testing.T
-	loop     *eventloop.Loop
 	upstream *Upstream
-	clock    atomic.Int64
-	events   chan core.Event
 	server   net.Listener
 	attempts int
 }
@@ -44,57 +33,31 @@
 // newFixture starts an Upstream, which runs until the test ends, and a server.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	loop, err := eventloop.New(256)
-	require.NoError(t, err)
-	server, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = server.Close() })
-	f := &fixture{t: t, loop: loop, server: server, events: make(chan core.Event, 64)}
-	f.clock.Store(int64(time.Hour))
+	f := &fixture{t: t, server: servetest.Listen(t), Loop: servetest.NewLoop(t)}
 	f.upstream = New(Options{
-		Loop:        loop,
-		Emit:        func(event core.Event) { f.events <- event },
-		Now:         func() time.Duration { return time.Duration(f.clock.Load()) },
+		Loop:        f.Loop.Loop,
+		Emit:        f.Emit,
+		Now:         f.Now,
 		KeepAlive:   testKeepAlive,
-		DialTimeout: testTimeout,
-	})
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() { // ends with ctx, which the cleanup awaits
-		loop.Run(ctx, core.TickInterval, func() {})
-		close(ended)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-ended
+		DialTimeout: servetest.Timeout,
 	})
 	return f
 }
 
-// do runs a function on the loop's owning goroutine and waits for it.
-func (f *fixture) do(call func()) {
-	done := make(chan struct{})
-	f.loop.Post(func() {
-		call()
-		close(done)
-	})
-	<-done
-}
-
 // awaitRead waits until the poller, which reads the sockets, is done with what the server has sent: until
 // then a connection counts as one with unread input, also where its data was handled.
 func (f *fixture) awaitRead() {
 	f.t.Helper()
 	done := func() bool {
 		empty := true
-		f.do(func() {
+		f.Do(func() {
 			for _, connection := range f.connections() {
 				empty = empty && connection.socket.InputEmpty()
 			}
 		})
 		return empty
 	}
-	require.Eventually(f.t, done, testTimeout, shortTime)
+	require.Eventually(f.t, done, servetest.Timeout, servetest.ShortTime)
 }
 
 // connections returns the open connections. It is for the loop's owning goroutine.
@@ -117,8 +80,8 @@
 func (f *fixture) advance(by time.Duration) {
 	f.t.Helper()
 	f.awaitRead()
-	f.clock.Add(int64(by))
-	f.do(f.upstream.Tick)
+	f.AdvanceClock(by)
+	f.Do(f.upstream.Tick)
 }
 
 // endpoint returns the server's.
@@ -137,7 +100,7 @@
 	f.t.Helper()
 	f.attempts++
 	ref := core.AttemptRef{Request: piernotch.RequestID(f.attempts)}
-	f.do(func() {
+	f.Do(func() {
 		f.upstream.StartAttempt(core.StartAttempt{
 			Ref:     ref,
 			To:      f.endpoint(),
@@ -145,87 +108,42 @@
 			Message: &core.RequestMessage{Method: "GET", Target: "/", ID: "1"},
 		})
 	})
-	require.Equal(f.t, core.AttemptConnected{Ref: ref}, <-f.events)
-	f.do(func() { f.upstream.WriteAttempt(ref) })
+	require.Equal(f.t, core.AttemptConnected{Ref: ref}, <-f.Events)
+	f.Do(func() { f.upstream.WriteAttempt(ref) })
 	return ref
 }
 
-// serverConnection is the server's side of a connection.
-type serverConnection struct {
-	net.Conn
-	t      *testing.T
-	reader *bufio.Reader
-}
-
 // accept accepts the connection that the Upstream opens next.
-func (f *fixture) accept() *serverConnection {
+func (f *fixture) accept() *servetest.Peer {
 	f.t.Helper()
-	conn, err := f.server.Accept()
-	require.NoError(f.t, err)
-	f.t.Cleanup(func() { _ = conn.Close() })
-	require.NoError(f.t, conn.SetDeadline(time.Now().Add(testTimeout)))
-	return &serverConnection{Conn: conn, t: f.t, reader: bufio.NewReader(conn)}
-}
-
-// request reads a request and returns its first line.
-func (c *serverConnection) request() string {
-	c.t.Helper()
-	return c.requestHead()[0]
-}
-
-// requestHead reads a request and returns the lines of its head.
-func (c *serverConnection) requestHead() []string {
-	c.t.Helper()
-	var head []string
-	for {
-		line, err := c.reader.ReadString('\n')
-		require.NoError(c.t, err)
-		if line == "\r\n" {
-			return head
-		}
-		head = append(head, strings.TrimSpace(line))
-	}
-}
-
-// respond sends text.
-func (c *serverConnection) respond(text string) {
-	c.t.Helper()
-	_, err := io.WriteString(c.Conn, text)
-	require.NoError(c.t, err)
-}
-
-// requireClosed waits until the Upstream has closed the connection.
-func (c *serverConnection) requireClosed() {
-	c.t.Helper()
-	_, err := c.reader.ReadByte()
-	require.ErrorIs(c.t, err, io.EOF)
+	return servetest.Accept(f.t, f.server)
 }
 
 // awaitResponseStart waits until a part of the response to an attempt was received.
 func (f *fixture) awaitResponseStart(ref core.AttemptRef) {
 	f.t.Helper()
 	started := func() (started bool) {
-		f.do(func() { started = f.upstream.attempts[ref].connection.responseStarted })
+		f.Do(func() { started = f.upstream.attempts[ref].connection.responseStarted })
 		return started
 	}
-	require.Eventually(f.t, started, testTimeout, shortTime)
+	require.Eventually(f.t, started, servetest.Timeout, servetest.ShortTime)
 }
 
 // serveOne has the server respond to an attempt, and the connection become idle.
-func (f *fixture) serveOne() *serverConnection {
+func (f *fixture) serveOne() *servetest.Peer {
 	f.t.Helper()
 	ref := f.startAttempt()
 	connection := f.accept()
-	connection.request()
-	connection.respond(emptyResponse)
-	require.Equal(f.t, core.AttemptCompleted{Ref: ref, Response: &core.ResponseMessage{}}, <-f.events)
+	connection.RequestHead()
+	connection.Send(emptyResponse)
+	require.Equal(f.t, core.AttemptCompleted{Ref: ref, Response: &core.ResponseMessage{}}, <-f.Events)
 	f.advance(settleTime)
 	return connection
 }
 
 // idleConnections returns how many connections are ready for another attempt.
 func (f *fixture) idleConnections() (count int) {
-	f.do(func() {
+	f.Do(func() {
 		if pool := f.upstream.pools[f.endpoint()]; pool != nil {
 			count = len(pool.idle)
 		}
@@ -239,9 +157,9 @@
 	connection := f.serveOne()
 	f.advance(testKeepAlive * 3 / 4)
 	require.Equal(t, 1, f.idleConnections())
-	f.advance(shortTime)
+	f.advance(servetest.ShortTime)
 	require.Zero(t, f.idleConnections())
-	connection.requireClosed()
+	connection.RequireClosed()
 }
 
 // A connection is not used again until the settle time has passed.
@@ -249,9 +167,9 @@
 	f := newFixture(t)
 	f.startAttempt()
 	connection := f.accept()
-	connection.request()
-	connection.respond(emptyResponse)
-	<-f.events
+	connection.RequestHead()
+	connection.Send(emptyResponse)
+	<-f.Events
 	f.advance(settleTime - 1)
 	require.Zero(t, f.idleConnections())
 	f.advance(1)
@@ -264,14 +182,14 @@
 	f := newFixture(t)
 	ref := f.startAttempt()
 	connection := f.accept()
-	connection.request()
-	connection.respond(halfResponse)
+	connection.RequestHead()
+	connection.Send(halfResponse)
 	f.awaitResponseStart(ref)
 	f.advance(stallTimeout)
-	require.Empty(t, f.events)
-	f.advance(shortTime)
-	require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Error}, <-f.events)
-	connection.requireClosed()
+	require.Empty(t, f.Events)
+	f.advance(servetest.ShortTime)
+	require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Error}, <-f.Events)
+	connection.RequireClosed()
 }
 
 // A response that has not begun has no timeout here: that of the attempt is the core's.
@@ -279,27 +197,27 @@
 	f := newFixture(t)
 	ref := f.startAttempt()
 	connection := f.accept()
-	connection.request()
+	connection.RequestHead()
 	f.advance(time.Hour)
-	require.Empty(t, f.events)
-	f.do(func() { f.upstream.CancelAttempt(ref) })
-	connection.requireClosed()
-	require.Empty(t, f.events)
+	require.Empty(t, f.Events)
+	f.Do(func() { f.upstream.CancelAttempt(ref) })
+	connection.RequireClosed()
+	require.Empty(t, f.Events)
 }
 
 // A health check without a response is ended after its time, without an event: the core has its own timer.
 func TestOverdueHealthCheckClosesItsConnection(t *testing.T) {
 	f := newFixture(t)
-	f.do(func() { f.upstream.HealthCheck(core.HealthCheck{To: f.endpoint()}) })
+	f.Do(func() { f.upstream.HealthCheck(core.HealthCheck{To: f.endpoint()}) })
 	connection := f.accept()
-	require.Equal(t, "GET "+healthCheckTarget+" HTTP/1.1", connection.request())
+	require.Equal(t, "GET "+healthCheckTarget+" HTTP/1.1", connection.RequestHead()[0])
 	f.advance(core.HealthCheckTimeout)
 	checks := 0
-	f.do(func() { checks = len(f.upstream.healthChecks) })
+	f.Do(func() { checks = len(f.upstream.healthChecks) })
 	require.Equal(t, 1, checks)
-	f.advance(shortTime)
-	connection.requireClosed()
-	require.Empty(t, f.events)
+	f.advance(servetest.ShortTime)
+	connection.RequireClosed()
+	require.Empty(t, f.Events)
 }
 
 // Shed closes idle connections, and none that an attempt uses.
@@ -307,18 +225,18 @@
 	f := newFixture(t)
 	idle := f.serveOne()
 	ref := f.startAttempt() // takes the idle connection
-	idle.request()
+	idle.RequestHead()
 	other := f.startAttempt()
 	used := f.accept()
-	used.request()
-	idle.respond(emptyResponse)
-	require.Equal(t, core.AttemptCompleted{Ref: ref, Response: &core.ResponseMessage{}}, <-f.events)
+	used.RequestHead()
+	idle.Send(emptyResponse)
+	require.Equal(t, core.AttemptCompleted{Ref: ref, Response: &core.ResponseMessage{}}, <-f.Events)
 	f.advance(settleTime)
 
-	f.do(f.upstream.Shed)
-	idle.requireClosed()
-	used.respond(emptyResponse)
-	require.Equal(t, core.AttemptCompleted{Ref: other, Response: &core.ResponseMessage{}}, <-f.events)
+	f.Do(f.upstream.Shed)
+	idle.RequireClosed()
+	used.Send(emptyResponse)
+	require.Equal(t, core.AttemptCompleted{Ref: other, Response: &core.ResponseMessage{}}, <-f.Events)
 }
 
 // A server that is told no deadline may work on a request for as long as it likes. So one is always told, also
@@ -330,6 +248,6 @@
 	} {
 		f := newFixture(t)
 		f.startAttemptWithin(timeout)
-		require.Contains(t, f.accept().requestHead(), told)
+		require.Contains(t, f.accept().RequestHead(), told)
 	}
 }
