--- a/internal/serve/runtime/load_shedding_test.go
+++ b/internal/serve/runtime/load_shedding_test.go
@@ -16,7 +16,14 @@
 // More clients come than there are descriptors: connections that are idle are closed, and all clients are
 // served.
 func TestIdleClientConnectionsAreShed(t *testing.T) {
-	balancer, _ := startBalancer(t, startIdleDiscovery(t), startNamedServer(t, "served"))
+	patient := func(cfg *config.Config) { // a machine that stands still for seconds fails no request of this test
+		cfg.DialTimeout = time.Minute
+		for i := range cfg.Settings.Classes {
+			cfg.Settings.Classes[i].LatencyObjective = time.Minute
+			cfg.Settings.Classes[i].Deadline = time.Minute
+		}
+	}
+	balancer, _ := startBalancerWith(t, patient, startIdleDiscovery(t), startNamedServer(t, "served"))
 	for range 400 {
 		_, body := connect(t, balancer).request("GET", "/read", "i", "")
 		require.Equal(t, "served", body)
