--- a/internal/serve/discovery/shared_watch.go
+++ b/internal/serve/discovery/shared_watch.go
@@ -32,7 +32,7 @@
 		slog.Warn("shared endpoint update rejected", "generation", event.ToVersion, "err", err)
 		return
 	}
-	w.apply(list, w.completeAt)
+	w.apply(list)
 }
 
 // requestUpdate requests from the group what follows the known version.
--- a/internal/serve/discovery/watcher.go
+++ b/internal/serve/discovery/watcher.go
@@ -39,10 +39,6 @@
 	// under the 200 ms within which the service counts a watch as continuing.
 	minPollInterval = 100 * time.Millisecond
 
-	// promptResponse is within what time the service responds to a poll for which it
-	// has changes.
-	promptResponse = 500 * time.Millisecond
-
 	// sharedRecheckInterval is how often a balancer for which another one polls
 	// checks whether that is still so.
 	sharedRecheckInterval = 50 * time.Millisecond
@@ -80,11 +76,10 @@
 	active       bool   // a poll is in flight, is being dialed or is scheduled
 	replacements int    // how many polls in a row were replaced because the service was silent
 	lastPollAt   time.Duration
-	completeAt   time.Duration // at that time the known list was all that there was; 0: not known
+	appliedAt    time.Duration // when a list was last applied; 0: none was
 	respondedAt  time.Duration // when the service last sent a list; until then, when the Watcher was made
 	failures     int           // since then
 	nextPollAt   time.Duration // 0: no poll is scheduled
-	writtenAt    time.Duration // when the poll in flight was written
 	pollDeadline time.Duration // when the poll in flight times out
 
 	connection *connection // nil: there is none, or it is being dialed
@@ -266,8 +261,7 @@
 
 // writePoll writes the poll's request on the open connection.
 func (w *Watcher) writePoll() {
-	w.writtenAt = w.now()
-	w.pollDeadline = w.writtenAt + w.pollTimeout()
+	w.pollDeadline = w.now() + w.pollTimeout()
 	w.connection.writePoll(w.address, w.pollQuery())
 }
 
@@ -342,7 +336,7 @@
 	// older one.
 	outdated := w.shared != nil && !list.Reset && list.Generation < w.version
 	if !outdated {
-		w.apply(list, w.listWithoutChanges())
+		w.apply(list)
 	}
 	w.active = false
 	w.replacements = 0
@@ -362,20 +356,10 @@
 	w.failures = 0
 }
 
-// listWithoutChanges returns a time at which the service had none of the changes that the response to the poll
-// in flight brings; 0 if none is known. It responds at once if it has any, so they are new if it has held the
-// poll. If not, they may be as old as the response before.
-func (w *Watcher) listWithoutChanges() time.Duration {
-	held := w.now() - w.writtenAt
-	if held > promptResponse {
-		return w.now() - promptResponse
-	}
-	return w.completeAt
-}
-
-// apply passes a list to the core. The service had none of its changes at absentAt; 0: that is not known.
-func (w *Watcher) apply(list EndpointList, absentAt time.Duration) {
-	w.completeAt = w.now()
+// apply passes a list to the core. What it changes was not listed when the list before was applied.
+func (w *Watcher) apply(list EndpointList) {
+	since := w.appliedAt
+	w.appliedAt = w.now()
 	w.version = list.Generation
 	w.needsReset = w.needsReset && !list.Reset
 	kind := piernotch.UpdateDelta
@@ -386,5 +370,5 @@
 		slog.Info("endpoint update", "server", endpoint.Name, "address", endpoint.Address,
 			"state", endpoint.Endpoint.State, "generation", w.version)
 	}
-	w.emit(core.EndpointUpdate{Kind: kind, Endpoints: list.Endpoints, Since: absentAt})
+	w.emit(core.EndpointUpdate{Kind: kind, Endpoints: list.Endpoints, Since: since})
 }
