Log what servers send beyond their responses, and the connection of each response

Data that comes while no response is due closed the connection without a line, and no line named a connection. Change: lines for unsolicited data (with the time since the last response and its request) and for data beyond a response, a count of both in the totals, the number of the connection and of the responses it had carried in the lines of unsuccessful and failed attempts, and a debug line for each response. A connection that was found with input before its reuse is left to its handler, which logs what came, in place of being closed unread.

--- a/internal/serve/runtime/totals.go
+++ b/internal/serve/runtime/totals.go
@@ -37,6 +37,7 @@
 		"full", counts.Full,
 		"errors", counts.Errors,
 		"connections_opened", b.upstream.ConnectionsOpened,
+		"unsolicited_data", b.upstream.UnsolicitedData,
 		"pending", b.core.PendingRequests(),
 		"clients", b.downstream.ConnectionCount(),
 		"descriptors", b.loop.OpenConnections(),
--- a/internal/serve/upstream/attempt.go
+++ b/internal/serve/upstream/attempt.go
@@ -59,8 +59,8 @@
 	u.forget(attempt)
 	attempt.connection = nil
 	slog.Info("attempt failed", "id", attempt.request.ID, "attempt", int(attempt.ref.Number), "server", cause.Address,
-		"stage", cause.Stage, "idle_ms", cause.IdleFor.Milliseconds(), "health_check", attempt.healthCheck,
-		"err", cause.Err)
+		"stage", cause.Stage, "connection", cause.Connection, "responses", cause.Responses,
+		"idle_ms", cause.IdleFor.Milliseconds(), "health_check", attempt.healthCheck, "err", cause.Err)
 	if attempt.healthCheck {
 		u.emit(core.HealthCheckCompleted{Server: attempt.pool.endpoint.Server, Status: cause.Status()})
 		return
@@ -68,9 +68,8 @@
 	u.emit(core.AttemptCompleted{Ref: attempt.ref, Status: cause.Status()})
 }
 
-// complete ends an attempt with a response. Its connection must have been
-// detached from it.
-func (u *Upstream) complete(attempt *attempt, response *http1.Message) {
+// complete ends an attempt with a response, which came on a connection that was detached from it.
+func (u *Upstream) complete(attempt *attempt, response *http1.Message, from *connection) {
 	endpoint := attempt.pool.endpoint
 	status := responseStatus(response)
 	u.loadReportReceived(endpoint, response.Fields.Get("x-load"))
@@ -92,6 +91,8 @@
 			"server", endpoint.Address,
 			"status", response.Status,
 			"executed", status != piernotch.Full,
+			"connection", from.number,
+			"responses", from.responses,
 		)
 	}
 	u.emit(completed)
--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -18,12 +19,15 @@
 // time. It implements eventloop.Handler, whose methods run on the loop's owning
 // goroutine.
 type connection struct {
+	number          int // of the connections of this process, for the log
 	pool            *pool
 	socket          *eventloop.Conn
 	parser          *http1.Parser
 	attempt         *attempt      // nil: the connection is free
 	lastActivity    time.Duration // when it became idle, or when data last arrived
 	idleFor         time.Duration // how long it had been idle when it got its attempt
+	responses       int           // it has carried
+	lastRequestID   string        // of the last one, for the log
 	requestWritten  bool          // the attempt's request was handed to the socket
 	responseStarted bool          // part of a response has arrived
 }
@@ -51,6 +55,7 @@
 // Data implements eventloop.Handler: bytes from the server.
 func (c *connection) Data(data []byte) {
 	if c.attempt == nil || !c.requestWritten {
+		c.logUnsolicited(len(data))
 		c.disconnected(fmt.Errorf("%w: %d bytes", errUnsolicitedData, len(data)))
 		return
 	}
@@ -107,13 +112,36 @@
 		return
 	}
 	c.pool.upstream.fail(attempt, &AttemptError{
-		Stage:   stage,
-		Address: c.pool.endpoint.Address,
-		IdleFor: c.idleFor,
-		Err:     err,
+		Stage:      stage,
+		Address:    c.pool.endpoint.Address,
+		Connection: c.number,
+		Responses:  c.responses,
+		IdleFor:    c.idleFor,
+		Err:        err,
 	})
 }
 
+// logUnsolicited logs data that came while no response was due: nothing else shows that a connection
+// carries more responses than requests.
+func (c *connection) logUnsolicited(size int) {
+	c.pool.upstream.UnsolicitedData++
+	slog.Info("unsolicited data from server", "server", c.pool.endpoint.Address, "connection", c.number, "bytes", size,
+		"last_id", c.lastRequestID, "last_response_ms", (c.pool.upstream.now() - c.lastActivity).Milliseconds(),
+		"responses", c.responses)
+}
+
+// logResponse logs which connection a response came on, and data that came right behind it.
+func (c *connection) logResponse(attempt *attempt, response *http1.Message) {
+	slog.Debug("server response", "id", attempt.request.ID, "attempt", int(attempt.ref.Number),
+		"server", c.pool.endpoint.Address, "status", response.Status, "bytes", len(response.Body),
+		"connection", c.number, "responses", c.responses, "idle_ms", c.idleFor.Milliseconds())
+	if !c.parser.Idle() {
+		c.pool.upstream.UnsolicitedData++
+		slog.Info("data beyond the response", "id", attempt.request.ID, "server", c.pool.endpoint.Address,
+			"connection", c.number)
+	}
+}
+
 // closeAndReplace closes a connection that is in none of its pool's lists, and
 // has another one opened for the attempts that wait.
 func (c *connection) closeAndReplace() {
@@ -128,12 +156,15 @@
 	c.attempt = nil
 	attempt.connection = nil
 	c.pool.upstream.forget(attempt)
+	c.responses++
+	c.lastRequestID = attempt.request.ID
+	c.logResponse(attempt, response)
 	if c.reusableAfter(response) {
 		c.pool.settle(c)
 	} else {
 		c.closeAndReplace()
 	}
-	c.pool.upstream.complete(attempt, response)
+	c.pool.upstream.complete(attempt, response, c)
 }
 
 // reusableAfter reports whether the connection can carry another request. It
--- a/internal/serve/upstream/errors.go
+++ b/internal/serve/upstream/errors.go
@@ -36,10 +36,12 @@
 // AttemptError is the end of an attempt, or of a health check, without a
 // response. Its stage decides whether the request may have run.
 type AttemptError struct {
-	Stage   Stage
-	Address string        // of the server
-	IdleFor time.Duration // how long the connection had been idle before the attempt
-	Err     error
+	Stage      Stage
+	Address    string        // of the server
+	Connection int           // its number in this process; 0: none was established
+	Responses  int           // that the connection had carried before
+	IdleFor    time.Duration // how long the connection had been idle before the attempt
+	Err        error
 }
 
 // Error implements error.
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -43,7 +43,7 @@
 			p.assign(connection, attempt)
 			return
 		}
-		connection.socket.Close() // the server closed it or sent unsolicited data
+		// The server closed it or sent unsolicited data: its handler is told, and logs which.
 	}
 	attempt.waiting = true
 	p.waiting = append(p.waiting, attempt)
@@ -78,7 +78,7 @@
 func (p *pool) dial() {
 	p.dials++
 	p.upstream.ConnectionsOpened++
-	connection := &connection{pool: p, parser: http1.NewResponseParser(http1.MaxBody)}
+	connection := &connection{number: p.upstream.ConnectionsOpened, pool: p, parser: http1.NewResponseParser(http1.MaxBody)}
 	opened := func(socket *eventloop.Conn) eventloop.Handler {
 		connection.socket = socket
 		return connection
@@ -156,7 +156,7 @@
 		if connection.socket.InputEmpty() {
 			p.release(connection)
 		} else {
-			connection.closeAndReplace()
+			p.dialForWaiting() // in its place; its handler is told what came, and closes it
 		}
 	}
 }
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -21,6 +21,8 @@
 
 	// ConnectionsOpened counts the connections dialled so far, for the log.
 	ConnectionsOpened int
+	// UnsolicitedData counts how often a server sent data beyond a response, for the log.
+	UnsolicitedData int
 
 	lastReportWarning time.Duration // when an invalid load report was last logged; 0: never
 }
