Report a response that no server made for its request as a violation

Cause: the laboratory's clients counted a 200 with another request's body as failed, so no load test, fault test or soak could see what the operators reported. The checks of malformed clients looked at their own responses alone. Change: an outcome of its own for clients, which the checker reports as lost whatever else excuses a request; a stand-in balancer that mixes responses up shows that it is noticed. TestWrongOrMissingResponseIsNotServed asked for 'failed' and now asks for the new outcome, which is a violation: stricter. Result: TestInvariantViolationsAreDetectedOnSockets and the tests of load passed, the stand-in's fault is reported.

--- a/cmd/piernotch-lab/loadtest_report.go
+++ b/cmd/piernotch-lab/loadtest_report.go
@@ -71,6 +71,9 @@
 	if counts.Left > 0 {
 		text += fmt.Sprintf(", %d left", counts.Left)
 	}
+	if counts.WrongResponse > 0 {
+		text += fmt.Sprintf(", %d with a wrong response", counts.WrongResponse)
+	}
 	return text
 }
 
--- a/internal/lab/invariants/requests.go
+++ b/internal/lab/invariants/requests.go
@@ -120,6 +120,18 @@
 	}
 }
 
+// WrongResponseSent records that a client got a successful response that no server made for its request.
+func (c *Checker) WrongResponseSent(at time.Duration, id uint64) {
+	c.reportRequest(c.requests.Get(id), Violation{
+		Rule:    Lost,
+		At:      at,
+		Request: id,
+		Server:  noServer,
+		Message: "served with a response that no server made for it",
+	})
+	c.RequestExcused(at, id)
+}
+
 // RequestDropped records that a balancer closed the connection of a request without a response.
 func (c *Checker) RequestDropped(at time.Duration, id uint64) {
 	if request := c.requests.Get(id); request != nil && !request.responded {
--- a/internal/lab/load/attempt.go
+++ b/internal/lab/load/attempt.go
@@ -164,6 +164,8 @@
 	switch {
 	case message.Status == http.StatusOK && strings.HasSuffix(string(message.Body), " "+id):
 		return response{outcome: Served}
+	case message.Status == http.StatusOK:
+		return response{outcome: WrongResponse}
 	case message.Status == http.StatusTooManyRequests || message.Status == http.StatusServiceUnavailable:
 		seconds, _ := strconv.ParseFloat(message.Fields.Get("retry-after"), 64) // none is 0
 		return response{outcome: Rejected, retryAfter: time.Duration(max(seconds, 0) * float64(time.Second))}
--- a/internal/lab/load/clients.go
+++ b/internal/lab/load/clients.go
@@ -24,17 +24,18 @@
 
 // Outcomes.
 const (
-	Served       Outcome = iota
-	Rejected             // by a 429 or 503
-	Failed               // by another status, or a response that is not this request's
-	TimedOut             // without a response
-	Disconnected         // the balancer closed the connection without a response
-	Unreachable          // no balancer accepted it
-	Left                 // its client closed the connection before its deadline
+	Served        Outcome = iota
+	Rejected              // by a 429 or 503
+	Failed                // by another status, or a response that cannot be parsed
+	TimedOut              // without a response
+	Disconnected          // the balancer closed the connection without a response
+	Unreachable           // no balancer accepted it
+	Left                  // its client closed the connection before its deadline
+	WrongResponse         // with a 200 that no server made for it
 )
 
 // outcomeCount is the number of outcomes.
-const outcomeCount = Left + 1
+const outcomeCount = WrongResponse + 1
 
 // retryable reports whether an attempt with this outcome has certainly not been executed, or may be sent
 // again by a client that cannot know.
@@ -93,6 +94,7 @@
 	Disconnected   int `json:"Broken"`
 	Unreachable    int `json:"Unreached"`
 	Left           int `json:"Left,omitempty"`
+	WrongResponse  int `json:"Wrong,omitempty"`
 	RetriedOnClose int `json:"Crossed"` // requests that were sent again: a reused connection was closed under them
 }
 
@@ -135,7 +137,7 @@
 	return Counts{
 		Attempts: c.attempts, Served: c.outcomes[Served], Rejected: c.outcomes[Rejected], Failed: c.outcomes[Failed],
 		TimedOut: c.outcomes[TimedOut], Disconnected: c.outcomes[Disconnected], Unreachable: c.outcomes[Unreachable],
-		Left: c.outcomes[Left], RetriedOnClose: c.retriedOnClose,
+		Left: c.outcomes[Left], WrongResponse: c.outcomes[WrongResponse], RetriedOnClose: c.retriedOnClose,
 	}
 }
 
--- a/internal/lab/load/clients_test.go
+++ b/internal/lab/load/clients_test.go
@@ -133,7 +133,8 @@
 			return true
 		},
 	)
-	require.Equal(t, 1, clients.Counts().Failed)
+	require.Equal(t, 1, clients.Counts().WrongResponse)
+	require.Zero(t, clients.Counts().Served)
 	clients, _ = play(
 		t,
 		[]simulation.Arrival{{Class: 1, Work: 1, MaxAttempts: 1, Seed: 1}},
--- a/internal/lab/loadtest/fakebalancer_test.go
+++ b/internal/lab/loadtest/fakebalancer_test.go
@@ -50,6 +50,7 @@
 		}
 	}()
 	var forwarded atomic.Int64
+	var earlierBody atomic.Pointer[[]byte]
 	forward := func(request *http.Request, body []byte) (*http.Response, error) {
 		to := config.Known.Endpoints[int(forwarded.Add(1))%len(config.Known.Endpoints)].HostPort
 		copied, err := http.NewRequest(request.Method, "http://"+to+request.URL.RequestURI(), bytes.NewReader(body))
@@ -85,6 +86,9 @@
 			return
 		}
 		writer.WriteHeader(response.StatusCode)
+		if earlier := earlierBody.Swap(&responseBody); fault == "mixes up" && odd && earlier != nil {
+			responseBody = *earlier
+		}
 		_, _ = writer.Write(responseBody)
 	}
 	server := &http.Server{Addr: config.Listen, Handler: http.HandlerFunc(serve)}
--- a/internal/lab/loadtest/loadtest_test.go
+++ b/internal/lab/loadtest/loadtest_test.go
@@ -55,7 +55,8 @@
 	require.Equal(
 		t,
 		counts.Attempts,
-		counts.Served+counts.Rejected+counts.Failed+counts.TimedOut+counts.Disconnected+counts.Unreachable,
+		counts.Served+counts.Rejected+counts.Failed+counts.TimedOut+counts.Disconnected+counts.Unreachable+
+			counts.WrongResponse,
 	)
 	require.Positive(t, report.Requests)
 	require.GreaterOrEqual(t, counts.Attempts, report.Requests)
@@ -69,6 +70,7 @@
 		what                 string
 	}{
 		{"repeats", "", invariants.Repeated, "though an earlier attempt may have been executed"},
+		{"mixes up", "", invariants.Lost, "served with a response that no server made for it"},
 		{"drops", "", invariants.Lost, "its connection was closed without a response"},
 		{"lies", "", invariants.Repeated, "rejected, though an attempt may have been executed"},
 		{
--- a/internal/lab/loadtest/observer.go
+++ b/internal/lab/loadtest/observer.go
@@ -111,6 +111,10 @@
 		return
 	}
 	o.endLocked(id, sent, now)
+	if outcome == load.WrongResponse { // nothing excuses it
+		o.checker.WrongResponseSent(now, sent.sequence)
+		return
+	}
 	excused := o.excused[sent.balancer] > 0
 	if outcome == load.Unreachable && !excused {
 		o.closedUnderRequest++
