Show with a failing test that late second responses reach other requests

Change: a fault of the stand-in servers, response_twice (part of the responses come a second time, up to size ms later), and a test on real processes with up to 60 ms.

--- a/internal/lab/emulator/exchange.go
+++ b/internal/lab/emulator/exchange.go
@@ -207,7 +207,10 @@
 	if kind, malformed := s.drawMalformed(); malformed {
 		return writeMalformed(received, kind, fields, body) && !received.request.Close
 	}
-	return received.write(http.StatusOK, fields, body)
+	response := http1.AppendResponse(nil, http.StatusOK, fields, body)
+	_, err := received.conn.Write(response)
+	s.repeatLater(received.conn, response)
+	return err == nil && !received.request.Close
 }
 
 // drawMalformed draws whether a response is malformed, and how.
--- a/internal/lab/emulator/fleet.go
+++ b/internal/lab/emulator/fleet.go
@@ -26,6 +26,7 @@
 
 	loadReportDelay atomic.Int64 // ns
 	malformedShare  atomic.Int64 // of responses, in units of 1/shareUnit
+	repeats         atomic.Pointer[responseRepeats]
 
 	mu  sync.Mutex
 	err error // the first one
@@ -43,6 +44,7 @@
 // calls Close.
 func New(realization *scenario.Realization, options Options) (*Fleet, error) {
 	fleet := &Fleet{realization: realization, clock: options.Clock, observer: options.Observer}
+	fleet.repeats.Store(&responseRepeats{})
 	for _, spec := range realization.Servers {
 		if _, err := fleet.add(spec); err != nil {
 			return nil, err
--- a/internal/lab/emulator/script.go
+++ b/internal/lab/emulator/script.go
@@ -56,6 +56,8 @@
 		f.discovery.extraDelay.Add(int64(step.Length))
 	case scenario.CorruptResponses:
 		f.malformedShare.Add(int64(step.Size * shareUnit))
+	case scenario.RepeatResponses:
+		f.repeats.Store(&responseRepeats{share: step.Size, maxDelay: step.Length})
 	case scenario.DiscoveryDown, scenario.DiscoveryUp:
 		f.discovery.setOutage(step.Action == scenario.DiscoveryDown)
 	default:
--- /dev/null
+++ b/internal/lab/loadtest/repeated_response_test.go
@@ -0,0 +1,36 @@
+package loadtest
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/lab/scenario"
+)
+
+// Servers send some responses a second time, up to 60 ms later.
+func TestRequestNeverGetsResponseOfAnEarlierOne(t *testing.T) {
+	t.Parallel()
+	repeats := `
+[[trouble]]
+kind = "response_twice"
+at_s = 0
+for_s = 10
+part = 0.2
+size = 60
+`
+	realization := func(settings ...string) *scenario.Realization {
+		return testRealization(t, repeats, append(settings, "length_s=10", "traffic.rate_per_s=120")...)
+	}
+	program := buildBalancer(t)
+	for _, balancers := range []string{"balancers.count=1", "balancers.count=3"} {
+		t.Run(balancers, func(t *testing.T) {
+			t.Parallel()
+			report, err := Run(context.Background(), realization(balancers), Options{Program: program})
+			require.NoError(t, err)
+			require.Zero(t, report.ViolationCount(), "%v", report.Violations)
+			require.Greater(t, report.Counts.Served, report.Requests/2)
+		})
+	}
+}
--- a/internal/lab/scenario/check_faults.go
+++ b/internal/lab/scenario/check_faults.go
@@ -37,7 +37,7 @@
 		}
 	}
 	switch f.Kind {
-	case FaultSlowServers, FaultHeavyTail:
+	case FaultSlowServers, FaultHeavyTail, FaultRepeatedResponses:
 		require("part", f.Part)
 		require("size", f.Size)
 	case FaultServerPauses:
--- a/internal/lab/scenario/fault_kinds.go
+++ b/internal/lab/scenario/fault_kinds.go
@@ -19,6 +19,7 @@
 	FaultRestartBalancers    = "balancer_restart"
 	FaultOverloadServers     = "choke"
 	FaultCorruptResponses    = "spoil"
+	FaultRepeatedResponses   = "response_twice"
 	FaultMalformedClients    = "rude"
 	FaultDelistServers       = "list_loss"
 	FaultMoveDiscovery       = "roster_move"
@@ -48,6 +49,7 @@
 	FaultOverloadServers: "part of the servers are put into overload at once",
 	FaultCorruptResponses: "part of the responses are malformed or carry extra data; " +
 		"in the simulation they are errors",
+	FaultRepeatedResponses: "part of the responses come a second time, up to size ms later; on sockets only",
 	FaultMalformedClients: "size malformed clients a second send what is no valid request, or nothing; " +
 		"on sockets only",
 	FaultDelistServers:   "the endpoint list omits part of the servers by mistake, and has them again after for_s",
--- a/internal/lab/scenario/overrides_test.go
+++ b/internal/lab/scenario/overrides_test.go
@@ -38,8 +38,8 @@
 	require.NoError(t, err)
 	const file = "testdata/every-key.toml:"
 	const kinds = "balancer_crash, balancer_restart, burst, choke, crash, discovery_late, discovery_outage, " +
-		"heavy_tail, join, leave, list_loss, pauses, replace, report_late, restart, roster_move, rude, " +
-		"shrink, slow, spoil, takeover, vanish"
+		"heavy_tail, join, leave, list_loss, pauses, replace, report_late, response_twice, restart, roster_move, " +
+		"rude, shrink, slow, spoil, takeover, vanish"
 	for _, test := range []struct {
 		override string
 		want     string
--- a/internal/lab/scenario/steps.go
+++ b/internal/lab/scenario/steps.go
@@ -21,6 +21,7 @@
 	DelayReports                   // the delay of load reports grows by Length, which may be negative
 	DelayDiscovery                 // the delay of discovery grows by Length, which may be negative
 	CorruptResponses               // the share of corrupted responses grows by Size, which may be negative
+	RepeatResponses                // Size of the responses come a second time, up to Length later; 0 ends it
 	DiscoveryDown                  // discovery becomes unavailable
 	DiscoveryUp                    // discovery is available again
 )
@@ -77,6 +78,9 @@
 		return f.during(Step{Action: DiscoveryDown}, Step{Action: DiscoveryUp})
 	case FaultCorruptResponses:
 		return f.during(Step{Action: CorruptResponses, Size: f.Part}, Step{Action: CorruptResponses, Size: -f.Part})
+	case FaultRepeatedResponses:
+		delay := time.Duration(f.Size * float64(time.Millisecond))
+		return f.during(Step{Action: RepeatResponses, Size: f.Part, Length: delay}, Step{Action: RepeatResponses})
 	case FaultDelistServers:
 		return f.during(
 			Step{Action: DelistServers, Servers: f.Servers},
--- a/internal/lab/storednames/names.go
+++ b/internal/lab/storednames/names.go
@@ -73,6 +73,7 @@
 		{"balancer_restart", "balancer restart"},
 		{"choke", "server overload"},
 		{"spoil", "malformed responses"},
+		{"response_twice", "repeated responses"},
 		{"rude", "malformed clients"},
 		{"list_loss", "endpoint list loss"},
 		{"roster_move", "discovery move"},
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -78,7 +78,11 @@
 func (p *pool) dial() {
 	p.dials++
 	p.upstream.ConnectionsOpened++
-	connection := &connection{number: p.upstream.ConnectionsOpened, pool: p, parser: http1.NewResponseParser(http1.MaxBody)}
+	connection := &connection{
+		number: p.upstream.ConnectionsOpened,
+		pool:   p,
+		parser: http1.NewResponseParser(http1.MaxBody),
+	}
 	opened := func(socket *eventloop.Conn) eventloop.Handler {
 		connection.socket = socket
 		return connection
