Never take a second response to an earlier request for the next request's

Cause: HTTP/1.1 says of no response to which request it belongs. A connection was used again 10 ms after a response (settleTime), and whatever came once a request was written was read as its response. A second response that comes later meets the next request, and from then on the connection is one response ahead. Change: a response equal to one that its connection carried within 2 s for a different request is held, for half of the attempt's remaining time and 2 s at most. If anything comes behind it, the attempt fails as one that may have run; if nothing does, it is the response. Responses that different requests got on different connections are common and never held. A server whose second responses come more than 5 ms late gets connections that carry one request each, for 5 min; two such servers, all do. Why it works: a second response can only come on the connection of the first, so equality there is the one sign of it; single use takes the connection away that it could come on, whatever it holds.

--- a/internal/serve/upstream/attempt.go
+++ b/internal/serve/upstream/attempt.go
@@ -116,7 +116,10 @@
 func (u *Upstream) failStalledAttempts(now time.Duration) {
 	for _, attempt := range u.attempts {
 		connection := attempt.connection
-		if connection != nil && connection.responseStarted && now-connection.lastActivity > stallTimeout {
+		if connection == nil || !connection.responseStarted || connection.held != nil {
+			continue
+		}
+		if now-connection.lastActivity > stallTimeout {
 			connection.fail(Malformed, errResponseStalled)
 		}
 	}
--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -28,6 +28,8 @@
 	idleFor         time.Duration // how long it had been idle when it got its attempt
 	responses       int           // it has carried
 	lastRequestID   string        // of the last one, for the log
+	carried         carriedExchanges
+	held            *heldResponse // of the attempt; nil: none
 	requestWritten  bool          // the attempt's request was handed to the socket
 	responseStarted bool          // part of a response has arrived
 }
@@ -59,6 +61,10 @@
 		c.disconnected(fmt.Errorf("%w: %d bytes", errUnsolicitedData, len(data)))
 		return
 	}
+	if c.held != nil { // the response to the attempt comes behind it
+		c.failHeld()
+		return
+	}
 	c.responseStarted = true
 	c.lastActivity = c.pool.upstream.now()
 	c.parser.Feed(data)
@@ -67,8 +73,21 @@
 	case err != nil:
 		c.fail(Malformed, err)
 	case response != nil:
-		c.responseReceived(response)
+		c.responseParsed(response)
+	}
+}
+
+// responseParsed takes a complete response for the attempt's, unless it may belong to an earlier request.
+func (c *connection) responseParsed(response *http1.Message) {
+	now := c.pool.upstream.now()
+	digests := digestExchange(c.attempt.request, response)
+	if c.mayBeRepeat(digests, now) {
+		c.hold(response, digests, now)
+		return
 	}
+	c.carried.add(digests, now)
+	c.pool.upstream.history.add(digests, c.number)
+	c.responseReceived(response)
 }
 
 // Closed implements eventloop.Handler: the connection has ended. An orderly end
@@ -124,10 +143,9 @@
 // logUnsolicited logs data that came while no response was due: nothing else shows that a connection
 // carries more responses than requests.
 func (c *connection) logUnsolicited(size int) {
-	c.pool.upstream.UnsolicitedData++
 	slog.Info("unsolicited data from server", "server", c.pool.endpoint.Address, "connection", c.number, "bytes", size,
-		"last_id", c.lastRequestID, "last_response_ms", (c.pool.upstream.now() - c.lastActivity).Milliseconds(),
-		"responses", c.responses)
+		"last_id", c.lastRequestID, "last_response_ms", c.sinceLastResponse().Milliseconds(), "responses", c.responses)
+	c.pool.upstream.repeatReceived(c.pool.endpoint, c.sinceLastResponse())
 }
 
 // logResponse logs which connection a response came on, and data that came right behind it.
@@ -169,7 +187,8 @@
 
 // reusableAfter reports whether the connection can carry another request. It
 // cannot behind bytes beyond the response, or a response that came before the
-// request was completely written.
+// request was completely written, or if its server repeats responses late.
 func (c *connection) reusableAfter(response *http1.Message) bool {
-	return !response.Close && c.parser.Idle() && c.socket.UnsentBytes() <= 0
+	singleUse := c.pool.upstream.singleUse.active(c.pool.endpoint, c.pool.upstream.now())
+	return !singleUse && !response.Close && c.parser.Idle() && c.socket.UnsentBytes() <= 0
 }
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -186,6 +186,11 @@
 // they are free.
 func (p *pool) startDraining() {
 	p.draining = true
+	p.closeFree()
+}
+
+// closeFree closes all connections that no attempt uses.
+func (p *pool) closeFree() {
 	p.closeOldestIdle(len(p.idle))
 	for _, connection := range p.settling {
 		connection.socket.Close()
--- /dev/null
+++ b/internal/serve/upstream/repeated_response_test.go
@@ -0,0 +1,161 @@
+package upstream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"piernotch"
+	"piernotch/internal/serve/core"
+	"piernotch/internal/serve/servetest"
+)
+
+// responseWith returns a response with a body.
+func responseWith(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// serveAt has the server respond to an attempt on a connection, nil for a new one, and returns the connection.
+func (f *fixture) serveAt(target, body string, connection *servetest.Peer) *servetest.Peer {
+	f.t.Helper()
+	ref := f.startAttemptAt(target, time.Hour)
+	if connection == nil {
+		connection = f.accept()
+	}
+	connection.RequestHead()
+	connection.Send(responseWith(body))
+	f.requireServed(ref, body)
+	return connection
+}
+
+// requireServed waits for the response to an attempt.
+func (f *fixture) requireServed(ref core.AttemptRef, body string) {
+	f.t.Helper()
+	completed := (<-f.Events).(core.AttemptCompleted)
+	require.Equal(f.t, ref, completed.Ref)
+	require.Equal(f.t, body, string(completed.Response.Body))
+}
+
+// awaitHeld waits until the response that came for an attempt is held.
+func (f *fixture) awaitHeld(ref core.AttemptRef) {
+	f.t.Helper()
+	held := func() (held bool) {
+		f.Do(func() { held = f.upstream.attempts[ref].connection.held != nil })
+		return held
+	}
+	require.Eventually(f.t, held, servetest.Timeout, servetest.ShortTime)
+	f.awaitRead()
+}
+
+func TestSecondResponseIsNotTakenForTheNextRequests(t *testing.T) {
+	neverExecuted := "HTTP/1.1 504 Expired\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, behind := range []string{responseWith("second"), neverExecuted} {
+		f := newFixture(t)
+		connection := f.serveAt("/first", "first", nil)
+		f.advance(settleTime)
+		ref := f.startAttemptAt("/second", time.Hour)
+		connection.RequestHead()
+		connection.Send(responseWith("first"))
+		f.awaitHeld(ref)
+		require.Empty(t, f.Events)
+		connection.Send(behind)
+		require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Error}, <-f.Events)
+		connection.RequireClosed()
+	}
+}
+
+func TestSecondResponseWithTheNextOneBehindItFailsTheAttempt(t *testing.T) {
+	f := newFixture(t)
+	connection := f.serveAt("/first", "first", nil)
+	f.advance(settleTime)
+	ref := f.startAttemptAt("/second", time.Hour)
+	connection.RequestHead()
+	connection.Send(responseWith("first") + responseWith("second"))
+	require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Error}, <-f.Events)
+	connection.RequireClosed()
+}
+
+// A server may give the same response to different requests: then nothing comes behind it.
+func TestEqualResponseIsAcceptedWhenNothingFollows(t *testing.T) {
+	f := newFixture(t)
+	connection := f.serveAt("/first", "same", nil)
+	f.advance(settleTime)
+	ref := f.startAttemptAt("/second", 2*time.Second)
+	connection.RequestHead()
+	connection.Send(responseWith("same"))
+	f.awaitHeld(ref)
+	f.advance(time.Second - 1)
+	require.Empty(t, f.Events)
+	f.advance(1)
+	f.requireServed(ref, "same")
+	connection.RequireClosed()
+
+	connection = f.serveAt("/third", "same", nil)
+	f.advance(settleTime)
+	f.serveAt("/fourth", "same", connection)
+}
+
+func TestResponseOfSeveralConnectionsIsNotHeld(t *testing.T) {
+	f := newFixture(t)
+	f.startAttemptAt("/first", time.Hour)
+	first := f.accept()
+	first.RequestHead()
+	f.serveAt("/second", "same", nil)
+	first.Send(responseWith("same"))
+	<-f.Events
+	f.advance(settleTime)
+	f.startAttemptAt("/third", time.Hour) // takes the connection that was released last
+	first.RequestHead()
+	first.Send(responseWith("same"))
+	<-f.Events
+}
+
+func TestEqualResponseToEqualRequestIsNotHeld(t *testing.T) {
+	f := newFixture(t)
+	connection := f.serveAt("/first", "same", nil)
+	f.advance(settleTime)
+	f.serveAt("/first", "same", connection)
+}
+
+func TestConnectionsAreUsedOnceAfterALateSecondResponse(t *testing.T) {
+	f := newFixture(t)
+	connection := f.serveAt("/first", "first", nil)
+	f.advance(settleTime)
+	connection.Send(responseWith("first"))
+	connection.RequireClosed()
+	for _, target := range []string{"/second", "/third"} {
+		f.serveAt(target, target, nil).RequireClosed()
+	}
+	f.advance(singleUseTime)
+	connection = f.serveAt("/fourth", "fourth", nil)
+	f.advance(settleTime)
+	f.serveAt("/fifth", "fifth", connection)
+}
+
+func TestSecondResponseRightBehindTheFirstKeepsConnectionsInUse(t *testing.T) {
+	f := newFixture(t)
+	connection := f.serveAt("/first", "first", nil)
+	connection.Send(responseWith("first"))
+	connection.RequireClosed()
+	connection = f.serveAt("/second", "second", nil)
+	f.advance(settleTime)
+	f.serveAt("/third", "third", connection)
+}
+
+func TestLateSecondResponsesOfTwoServersEndReuseEverywhere(t *testing.T) {
+	use := singleUse{lateRepeats: map[core.Endpoint]time.Duration{}}
+	endpoints := []core.Endpoint{{Server: 1}, {Server: 2}, {Server: 3}}
+	started, everywhere := use.repeatReceived(endpoints[0], settleTime, time.Hour)
+	require.True(t, started)
+	require.False(t, everywhere)
+	require.False(t, use.active(endpoints[2], time.Hour))
+	started, everywhere = use.repeatReceived(endpoints[1], settleTime, time.Hour+time.Second)
+	require.True(t, started)
+	require.True(t, everywhere)
+	require.True(t, use.active(endpoints[2], time.Hour+time.Second))
+	require.False(t, use.active(endpoints[2], time.Hour+singleUseTime+1), "one alone is left")
+	started, _ = use.repeatReceived(endpoints[2], repeatWindow+1, 2*time.Hour)
+	require.False(t, started, "a time-out of an idle connection")
+}
--- a/internal/serve/upstream/timeouts_test.go
+++ b/internal/serve/upstream/timeouts_test.go
@@ -97,6 +97,12 @@
 
 // startAttemptWithin does so for an attempt with a timeout.
 func (f *fixture) startAttemptWithin(timeout time.Duration) core.AttemptRef {
+	f.t.Helper()
+	return f.startAttemptAt("/", timeout)
+}
+
+// startAttemptAt does so for a target.
+func (f *fixture) startAttemptAt(target string, timeout time.Duration) core.AttemptRef {
 	f.t.Helper()
 	f.attempts++
 	ref := core.AttemptRef{Request: piernotch.RequestID(f.attempts)}
@@ -105,7 +111,7 @@
 			Ref:     ref,
 			To:      f.endpoint(),
 			Timeout: timeout,
-			Message: &core.RequestMessage{Method: "GET", Target: "/", ID: "1"},
+			Message: &core.RequestMessage{Method: "GET", Target: target, ID: "1"},
 		})
 	})
 	require.Equal(f.t, core.AttemptConnected{Ref: ref}, <-f.Events)
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -18,6 +18,8 @@
 	pools        map[core.Endpoint]*pool
 	attempts     map[core.AttemptRef]*attempt
 	healthChecks map[*attempt]struct{}
+	history      responseHistory
+	singleUse    singleUse
 
 	// ConnectionsOpened counts the connections dialled so far, for the log.
 	ConnectionsOpened int
@@ -45,6 +47,8 @@
 		pools:        map[core.Endpoint]*pool{},
 		attempts:     map[core.AttemptRef]*attempt{},
 		healthChecks: map[*attempt]struct{}{},
+		history:      newResponseHistory(),
+		singleUse:    singleUse{lateRepeats: map[core.Endpoint]time.Duration{}},
 	}
 	upstream.SetTimeouts(options.KeepAlive, options.DialTimeout)
 	return upstream
@@ -108,12 +112,13 @@
 }
 
 // Tick must be called once per core.TickInterval. It makes settled connections
-// available, closes connections that were idle for too long, fails attempts
-// whose response has stalled and ends overdue health checks. All other time
+// available, closes connections that were idle for too long, accepts responses
+// that were held, fails attempts whose response has stalled and ends overdue health checks. All other time
 // limits of attempts are the core's.
 func (u *Upstream) Tick() {
 	now := u.now()
 	u.endOverdueHealthChecks(now)
+	u.acceptHeldResponses(now)
 	u.failStalledAttempts(now)
 	for endpoint, pool := range u.pools {
 		pool.releaseSettled(now)
