Do not apply a list that is older than the poll asked for

Callers would see: requests to a server that drains. Cause: a second response to an earlier poll, behind a newer one, took the version and the states of its servers back. Change: a response with a lower version than its poll asked for is not applied; the complete list is polled on a new connection, where any version is accepted (a service that has lost its versions). Evidence: TestSecondResponseToAnEarlierPollIsNotApplied, which fails without the change (the outdated list is applied, the connection stays). Why it works: a service that is asked for what follows a version has nothing older to say, and nothing of an earlier poll can come on a new connection.

--- a/internal/serve/discovery/watcher.go
+++ b/internal/serve/discovery/watcher.go
@@ -81,6 +81,7 @@
 	failures     int           // since then
 	nextPollAt   time.Duration // 0: no poll is scheduled
 	pollDeadline time.Duration // when the poll in flight times out
+	asked        query         // what the last poll that was written asked for
 
 	connection *connection // nil: there is none, or it is being dialed
 	epoch      int         // counts moves and replacements, to ignore dials of earlier ones
@@ -262,7 +263,8 @@
 // writePoll writes the poll's request on the open connection.
 func (w *Watcher) writePoll() {
 	w.pollDeadline = w.now() + w.pollTimeout()
-	w.connection.writePoll(w.address, w.pollQuery())
+	w.asked = w.pollQuery()
+	w.connection.writePoll(w.address, w.asked)
 }
 
 // pollQuery returns what the next poll asks for.
@@ -329,6 +331,10 @@
 		return
 	}
 	w.noteResponse()
+	if !w.asked.complete && list.Generation < w.asked.version {
+		w.requestCompleteList(list.Generation)
+		return
+	}
 	if w.shared != nil {
 		w.publish(list, response.Body)
 	}
@@ -346,6 +352,17 @@
 	w.Watch()
 }
 
+// requestCompleteList polls anew, on a new connection, in place of applying a list that is older than the poll
+// asked for: it is a second response to an earlier poll, or the service has lost its versions.
+func (w *Watcher) requestCompleteList(generation uint64) {
+	slog.Warn("outdated list", "address", w.address, "generation", w.asked.version, "received_generation", generation)
+	w.needsReset = true
+	w.disconnect()
+	w.active = false
+	w.replacements = 0
+	w.Watch()
+}
+
 // noteResponse notes that the service has sent a list, and logs it if it had failed before.
 func (w *Watcher) noteResponse() {
 	if w.failures > 0 {
--- a/internal/serve/discovery/watcher_test.go
+++ b/internal/serve/discovery/watcher_test.go
@@ -67,8 +67,19 @@
 // sendList sends a list without endpoints and returns the update that comes of it.
 func (c *serviceConnection) sendList(generation uint64) core.EndpointUpdate {
 	c.t.Helper()
-	body := emptyList(generation, false)
+	return c.receiveUpdate(emptyList(generation, false))
+}
+
+// sendBody sends a list as it is on the wire.
+func (c *serviceConnection) sendBody(body []byte) {
+	c.t.Helper()
 	c.Send(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+}
+
+// receiveUpdate sends a list and returns the update that comes of it.
+func (c *serviceConnection) receiveUpdate(body []byte) core.EndpointUpdate {
+	c.t.Helper()
+	c.sendBody(body)
 	update := (<-c.Events).(core.EndpointUpdate)
 	c.Do(func() {}) // the next poll is scheduled behind the event
 	return update
@@ -92,6 +103,28 @@
 	return fmt.Sprintf("%s?index=%d&wait=%d", listPath, version, replacementWait.Milliseconds())
 }
 
+// Once the complete list was polled on another connection, the service may have any version.
+func TestSecondResponseToAnEarlierPollIsNotApplied(t *testing.T) {
+	f := newFixture(t)
+	f.Do(f.watcher.Watch)
+	connection := f.accept()
+	connection.poll()
+	for generation := uint64(6); generation <= 7; generation++ {
+		connection.respond(generation)
+		f.advance(minPollInterval)
+		connection.poll()
+	}
+	connection.sendBody(emptyList(6, false))
+	connection.RequireClosed()
+	require.Empty(t, f.Events)
+	f.advance(minPollInterval)
+	connection = f.accept()
+	require.Equal(t, listPath, connection.poll())
+	require.Equal(t, piernotch.UpdateFull, connection.receiveUpdate(emptyList(3, true)).Kind)
+	f.advance(minPollInterval)
+	require.Equal(t, pollOf(3), connection.poll())
+}
+
 // The next poll follows a response, on the same connection and for the version of the response, but not
 // within minPollInterval of the poll before.
 func TestPollFollowsResponseAfterMinPollInterval(t *testing.T) {
