Use a descriptor's number no more once its connection is being closed

Callers would see: an empty response, or a connection to a server half closed under a request. Change: both hold a lock under which the end is noted; nbio reports a close before it closes the descriptor (closeWithErrorWithoutLock), so no use follows the note. TestDescriptorOfAClosedConnectionIsNotUsed shows that nothing uses the number after the poller's report; a trial that forced the same number on another connection hung in the test itself and was given up, so the harm was not reproduced.

--- a/internal/serve/eventloop/connection.go
+++ b/internal/serve/eventloop/connection.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -33,7 +34,10 @@
 	unhandled    atomic.Int32 // pieces of data on their way to the handler
 	discardInput atomic.Bool  // what still arrives is discarded
 	prioritized  atomic.Bool  // handled before others after a stall
-	peerClosed   atomic.Bool  // or broke it; Handler.Closed may be still to come
+
+	descriptorMutex sync.Mutex  // held while the descriptor is used beside the poller
+	descriptorGone  bool        // it is about to be closed, and its number may then be another connection's
+	peerClosed      atomic.Bool // or broke it; Handler.Closed may be still to come
 }
 
 // Write sends data; what the kernel does not take at once follows later. An error means that the
@@ -63,14 +67,12 @@
 	if c.closed {
 		return false
 	}
-	empty := true
-	if raw, err := c.socket.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) {
-			var one [1]byte
-			_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			empty = errors.Is(err, syscall.EAGAIN)
-		})
-	}
+	empty := false
+	c.useDescriptor(func(fd int) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		empty = errors.Is(err, syscall.EAGAIN)
+	})
 	return empty && c.unhandled.Load() == 0
 }
 
@@ -91,11 +93,29 @@
 	if c.closed {
 		return
 	}
+	c.useDescriptor(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) })
+}
+
+// useDescriptor calls use with the descriptor, unless the poller has closed the connection: its number may
+// belong to another one by then.
+func (c *Conn) useDescriptor(use func(fd int)) {
+	c.descriptorMutex.Lock()
+	defer c.descriptorMutex.Unlock()
+	if c.descriptorGone {
+		return
+	}
 	if raw, err := c.socket.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+		_ = raw.Control(func(fd uintptr) { use(int(fd)) })
 	}
 }
 
+// releaseDescriptor ends the use of the descriptor. nbio reports a close before it closes the descriptor.
+func (c *Conn) releaseDescriptor() {
+	c.descriptorMutex.Lock()
+	c.descriptorGone = true
+	c.descriptorMutex.Unlock()
+}
+
 // deliver passes data to the handler. A panic ends this connection and no other.
 func (c *Conn) deliver(data []byte) {
 	if c.closed {
--- a/internal/serve/eventloop/loop_test.go
+++ b/internal/serve/eventloop/loop_test.go
@@ -236,3 +236,38 @@
 	require.ErrorIs(t, dial(OrdinaryDial), ErrDescriptorsExhausted)
 	require.NoError(t, dial(ReservedDial))
 }
+
+// The number of a descriptor belongs to another connection once the poller has closed the first one.
+func TestDescriptorOfAClosedConnectionIsNotUsed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	l, err := New(64)
+	require.NoError(t, err)
+	connections := make(chan *Conn, 1)
+	dial := func() (*Conn, net.Conn) {
+		l.Post(func() {
+			l.Dial(Target{Address: listener.Addr().String(), Timeout: time.Second},
+				func(*Conn) Handler { return newRecordingHandler() }, func(c *Conn, _ error) { connections <- c })
+		})
+		peer, err := listener.Accept()
+		require.NoError(t, err)
+		return <-connections, peer
+	}
+	stop := startLoop(t, l, func() {})
+	defer stop()
+	first, firstPeer := dial()
+	entered, leave, used := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
+	l.Post(func() { // meanwhile the owning goroutine does not learn of the close
+		close(entered)
+		<-leave
+		called := false
+		first.useDescriptor(func(int) { called = true })
+		used <- called || first.InputEmpty()
+	})
+	<-entered
+	require.NoError(t, firstPeer.Close())
+	require.Eventually(t, first.PeerClosed, 10*time.Second, time.Millisecond)
+	close(leave)
+	require.False(t, <-used)
+}
--- a/internal/serve/eventloop/poller.go
+++ b/internal/serve/eventloop/poller.go
@@ -83,6 +83,7 @@
 	if !ok {
 		return
 	}
+	connection.releaseDescriptor()
 	l.mailbox.mu.Lock() // as in read
 	connection.peerClosed.Store(true)
 	l.mailbox.mu.Unlock()
