--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -152,7 +152,7 @@
 	}
 	for range 1 + d.rng.IntN(3) {
 		at := d.between(1, last-3)
-		switch d.rng.IntN(6) {
+		switch d.rng.IntN(7) {
 		case 0:
 			d.fault(scenario.FaultReplaceServers, at, d.between(1, 6), "part = 0.3\nramp_s = 4")
 		case 1:
@@ -163,6 +163,9 @@
 			d.fault(scenario.FaultUnresponsiveServers, at, d.between(1, 5), "part = 0.2")
 		case 4:
 			d.fault(scenario.FaultCorruptResponses, at, d.between(1, 6), "part = 0.05")
+		case 5:
+			d.fault(scenario.FaultRepeatedResponses, at, last-at,
+				fmt.Sprintf("part = %.2f\nsize = %d", d.between(0.02, 0.3), pick(d, 8, 30, 100, 400)))
 		default:
 			d.fault(scenario.FaultMalformedClients, at, d.between(1, 6), "size = 20")
 		}
