--- a/internal/lab/emulator/exchange.go
+++ b/internal/lab/emulator/exchange.go
@@ -27,10 +27,12 @@
 	attempt int             // its number among those of the request
 }
 
-// write writes a response. It reports whether the connection goes on.
-func (x *exchange) write(status int, fields http1.Fields, body []byte) bool {
-	_, err := x.conn.Write(http1.AppendResponse(nil, status, fields, body))
-	return err == nil && !x.request.Close
+// write writes a response, which may come a second time. It reports whether the connection goes on.
+func (s *server) write(received exchange, status int, fields http1.Fields, body []byte) bool {
+	response := http1.AppendResponse(nil, status, fields, body)
+	_, err := received.conn.Write(response)
+	s.repeatLater(received.conn, response)
+	return err == nil && !received.request.Close
 }
 
 // serveExchange serves one request. It reports whether the connection goes on.
@@ -53,7 +55,7 @@
 	case servermodel.Rejected:
 		fields := append(s.loadHeader(now), notRun)
 		s.fleet.observer.AttemptCompleted(received.id, received.attempt, NeverExecuted(true))
-		return received.write(http.StatusServiceUnavailable, fields, nil)
+		return s.write(received, http.StatusServiceUnavailable, fields, nil)
 	case servermodel.Refused:
 		s.fleet.observer.AttemptCompleted(received.id, received.attempt, NeverExecuted(false))
 		reset(received.conn)
@@ -98,7 +100,7 @@
 	if len(fields) > 0 && received.request.Path() == "/_load" {
 		body = []byte(fields[0].Value)
 	}
-	return received.write(status, fields, body)
+	return s.write(received, status, fields, body)
 }
 
 // loadHeader returns the X-Load header of a response; nothing if the server does not report its load.
@@ -199,18 +201,15 @@
 		reset(received.conn)
 		return false
 	case servermodel.Expired:
-		return received.write(http.StatusGatewayTimeout, append(fields, notRun), nil)
+		return s.write(received, http.StatusGatewayTimeout, append(fields, notRun), nil)
 	case servermodel.CompletedWithError:
-		return received.write(http.StatusInternalServerError, fields, nil)
+		return s.write(received, http.StatusInternalServerError, fields, nil)
 	}
 	body := []byte(s.name + " " + received.id)
 	if kind, malformed := s.drawMalformed(); malformed {
 		return writeMalformed(received, kind, fields, body) && !received.request.Close
 	}
-	response := http1.AppendResponse(nil, http.StatusOK, fields, body)
-	_, err := received.conn.Write(response)
-	s.repeatLater(received.conn, response)
-	return err == nil && !received.request.Close
+	return s.write(received, http.StatusOK, fields, body)
 }
 
 // drawMalformed draws whether a response is malformed, and how.
--- a/internal/lab/loadtest/repeated_response_test.go
+++ b/internal/lab/loadtest/repeated_response_test.go
@@ -34,3 +34,22 @@
 		})
 	}
 }
+
+// Servers with short queues reject requests and send some rejections a second time, up to 60 ms later.
+func TestRejectionOfAnEarlierRequestIsNoPromiseForTheNext(t *testing.T) {
+	t.Parallel()
+	repeats := `
+[[trouble]]
+kind = "response_twice"
+at_s = 0
+for_s = 10
+part = 0.5
+size = 60
+`
+	realization := testRealization(t, repeats, "length_s=10", "traffic.rate_per_s=400", "kind.*.queue_per_core=0",
+		"kind.*.cores=1", "balancers.count=3", "class.*.effect=unsafe")
+	report, err := Run(context.Background(), realization, Options{Program: buildBalancer(t)})
+	require.NoError(t, err)
+	require.Zero(t, report.ViolationCount(), "%v", report.Violations)
+	require.Positive(t, report.Counts.Rejected)
+}
