Use a connection no more behind a rejection or an error

Callers would see: a request that runs twice, and a response of another request. Rejections are all alike, so a late second one is not recognized by its content: it passed for the promise that the next request had not run, and the response behind it for that of the one after. Change: a connection is closed behind any response but a 200. Why it works: nothing can be read as the next request's on a connection that has none.

--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -189,6 +189,9 @@
 // cannot behind bytes beyond the response, or a response that came before the
 // request was completely written, or if its server repeats responses late.
 func (c *connection) reusableAfter(response *http1.Message) bool {
+	if response.Status != http1.StatusOK { // rejections and errors are all alike: a second one is not recognized
+		return false
+	}
 	singleUse := c.pool.upstream.singleUse.active(c.pool.endpoint, c.pool.upstream.now())
 	return !singleUse && !response.Close && c.parser.Idle() && c.socket.UnsentBytes() <= 0
 }
--- a/internal/serve/upstream/repeated_response_test.go
+++ b/internal/serve/upstream/repeated_response_test.go
@@ -119,6 +119,16 @@
 	f.serveAt("/first", "same", connection)
 }
 
+func TestConnectionIsNotUsedAgainBehindARejection(t *testing.T) {
+	f := newFixture(t)
+	ref := f.startAttempt()
+	connection := f.accept()
+	connection.RequestHead()
+	connection.Send("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Full}, <-f.Events)
+	connection.RequireClosed()
+}
+
 func TestConnectionsAreUsedOnceAfterALateSecondResponse(t *testing.T) {
 	f := newFixture(t)
 	connection := f.serveAt("/first", "first", nil)
