Keep equal requests off a connection that may still get a second response

Cause: a response equal to an earlier one of its connection was held as a possible second response only if it was for a different request (carriedExchanges.hasResponse). A health check's response was never held, so a copy in its place shifted the connection, too.

Connections aren't reused after health checks.

Why it works: where content cannot tell a copy from the response, both can no longer come on one connection.

--- a/internal/serve/upstream/attempt.go
+++ b/internal/serve/upstream/attempt.go
@@ -20,6 +20,7 @@
 	healthCheck bool
 	pool        *pool
 	request     *core.RequestMessage
+	digest      uint64 // see digestRequest
 	deadline    time.Duration
 	connection  *connection // nil: none is assigned
 	waiting     bool        // the attempt is in its pool's waiting list
--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -34,6 +34,13 @@
 	responseStarted bool          // part of a response has arrived
 }
 
+// canCarry reports whether the connection may carry an attempt. Shortly after an equal request it may not, because a
+// second response to that request could be mistaken for the attempt's response. Health checks are exempt: their
+// connections are not reused.
+func (c *connection) canCarry(attempt *attempt, now time.Duration) bool {
+	return attempt.healthCheck || !c.carried.hasRequest(attempt.digest, now)
+}
+
 // writeRequest hands the attempt's request to the socket, with the time left until
 // the attempt's deadline.
 func (c *connection) writeRequest(now time.Duration) {
@@ -82,7 +89,7 @@
 // request, it is held instead.
 func (c *connection) responseParsed(response *http1.Message) {
 	now := c.pool.upstream.now()
-	digests := digestExchange(c.attempt.request, response)
+	digests := exchangeDigests{request: c.attempt.digest, response: digestResponse(response)}
 	if c.mayBeRepeat(digests, now) {
 		c.hold(response, digests, now)
 		return
@@ -179,7 +186,7 @@
 	c.responses++
 	c.lastRequestID = attempt.request.ID
 	c.logResponse(attempt, response)
-	if c.reusableAfter(response) {
+	if c.reusableAfter(attempt, response) {
 		c.pool.settle(c)
 	} else {
 		c.closeAndReplace()
@@ -188,13 +195,13 @@
 }
 
 // reusableAfter reports whether the connection can carry another request after a
-// response. It cannot while singleUse is active for the endpoint, or if the response
-// is a rejection or an error, announces the close, was followed by more bytes, or came
-// before the request was completely written.
-func (c *connection) reusableAfter(response *http1.Message) bool {
-	// Rejections and errors of a server are often identical. On a reused connection, a second response to this
-	// request could not be told from the response to the next request.
-	if response.Status != http1.StatusOK {
+// response to an attempt. It cannot while singleUse is active for the endpoint, after a
+// health check, or if the response is a rejection or an error, announces the close, was
+// followed by more bytes, or came before the request was completely written.
+func (c *connection) reusableAfter(attempt *attempt, response *http1.Message) bool {
+	// Rejections, errors and responses to health checks of a server are often identical. On a reused connection, a
+	// second response to this request could not be told from the response to the next request.
+	if response.Status != http1.StatusOK || attempt.healthCheck {
 		return false
 	}
 	singleUse := c.pool.upstream.singleUse.active(c.pool.endpoint, c.pool.upstream.now())
--- a/internal/serve/upstream/health_check.go
+++ b/internal/serve/upstream/health_check.go
@@ -14,11 +14,13 @@
 // HealthCheckCompleted, but no event if the check takes longer than
 // core.HealthCheckTimeout: the core has a timer for that.
 func (u *Upstream) HealthCheck(effect core.HealthCheck) {
+	request := &core.RequestMessage{Method: http1.MethodGet, Target: healthCheckTarget}
 	check := &attempt{
 		healthCheck: true,
 		pool:        u.poolFor(effect.To),
 		deadline:    u.now() + core.HealthCheckTimeout,
-		request:     &core.RequestMessage{Method: http1.MethodGet, Target: healthCheckTarget},
+		request:     request,
+		digest:      digestRequest(request),
 	}
 	u.healthChecks[check] = struct{}{}
 	check.pool.acquire(check)
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -32,14 +32,17 @@
 	draining bool          // the server is draining or gone: connections are closed once free
 }
 
-// acquire assigns the most recently used idle connection to an attempt. If there is
-// none, it queues the attempt and dials if necessary. It also ends the pool's draining.
+// acquire assigns the most recently used idle connection that can carry an attempt. If there is none, it queues the
+// attempt and dials if necessary. It also ends the pool's draining.
 func (p *pool) acquire(attempt *attempt) {
 	p.draining = false
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		connection := p.idle[last]
-		p.idle = p.idle[:last]
+	now := p.upstream.now()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		connection := p.idle[i]
+		if !connection.canCarry(attempt, now) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if connection.socket.InputEmpty() {
 			p.assign(connection, attempt)
 			return
@@ -107,20 +110,21 @@
 // dialFailed fails the attempt that has waited longest, because each dial is for one
 // attempt. It dials for the other waiting attempts if necessary.
 func (p *pool) dialFailed(err error) {
-	if attempt := p.nextWaiting(); attempt != nil {
+	if attempt := p.takeWaiting(func(*attempt) bool { return true }); attempt != nil {
 		p.upstream.fail(attempt, &AttemptError{Stage: Connecting, Address: p.endpoint.Address, Err: err})
 	}
 	p.dialForWaiting()
 }
 
-// nextWaiting removes and returns the attempt that has waited longest, or nil if
-// no attempt waits.
-func (p *pool) nextWaiting() *attempt {
-	if len(p.waiting) == 0 {
+// takeWaiting removes and returns the attempt that has waited longest of those that satisfy a condition, or nil if
+// there is none.
+func (p *pool) takeWaiting(satisfies func(*attempt) bool) *attempt {
+	i := slices.IndexFunc(p.waiting, satisfies)
+	if i < 0 {
 		return nil
 	}
-	attempt := p.waiting[0]
-	p.waiting = slices.Delete(p.waiting, 0, 1)
+	attempt := p.waiting[i]
+	p.waiting = slices.Delete(p.waiting, i, i+1)
 	attempt.waiting = false
 	return attempt
 }
@@ -132,19 +136,23 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(other *attempt) bool { return other == cancelled })
 }
 
-// release gives a free connection to the attempt that has waited longest. If no
-// attempt waits, the connection becomes idle, or is closed if the pool is draining.
+// release gives a free connection to the attempt that has waited longest of those that it can carry. If there is
+// none, the connection becomes idle, or is closed if the pool is draining. For attempts that it cannot carry, others are
+// dialed.
 func (p *pool) release(connection *connection) {
-	if attempt := p.nextWaiting(); attempt != nil {
-		p.assign(connection, attempt)
+	now := p.upstream.now()
+	carried := p.takeWaiting(func(waiting *attempt) bool { return connection.canCarry(waiting, now) })
+	switch {
+	case carried != nil:
+		p.assign(connection, carried)
 		return
-	}
-	if p.draining {
+	case p.draining:
 		connection.socket.Close()
-		return
+	default:
+		connection.lastActivity = now
+		p.idle = append(p.idle, connection)
 	}
-	connection.lastActivity = p.upstream.now()
-	p.idle = append(p.idle, connection)
+	p.dialForWaiting()
 }
 
 // settle keeps a connection from reuse for settleTime after a response, or closes it
--- a/internal/serve/upstream/repeated_response.go
+++ b/internal/serve/upstream/repeated_response.go
@@ -24,8 +24,7 @@
 }
 
 // mayBeRepeat reports whether a response may be a second response to an earlier request: the connection has
-// recently carried the same response for a different request, and the response is not a common one (see
-// responseHistory). The result is always false for a health check.
+// recently carried the same response, and the response is not a common one (see responseHistory). The result is always false for a health check.
 func (c *connection) mayBeRepeat(digests exchangeDigests, now time.Duration) bool {
 	return !c.attempt.healthCheck && c.carried.hasResponse(digests, now) && !c.pool.upstream.history.common(digests)
 }
@@ -76,7 +75,7 @@
 // sinceLastResponse returns the time since the last response on the connection. A held response does not count.
 // Without an earlier response, it returns the clock's time.
 func (c *connection) sinceLastResponse() time.Duration {
-	return c.pool.upstream.now() - c.carried[0].at
+	return c.pool.upstream.now() - c.carried.lastAt()
 }
 
 // repeatReceived counts a second response to a request, which came delay after the first one. If single use starts
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -73,6 +73,7 @@
 		ref:      effect.Ref,
 		pool:     u.poolFor(effect.To),
 		request:  effect.Message,
+		digest:   digestRequest(effect.Message),
 		deadline: u.now() + effect.Timeout,
 	}
 	u.attempts[effect.Ref] = attempt
