Count the time in the accept queue, and forward nothing for clients that left it

Cause: arrivalTime counted a request from the accept; connection.serve asked PeerClosed, which knew only what the poller had read.

Change: connections that may have waited in the accept queue take the age of their input from TCP_INFO (accept_queue.go); PeerClosed looks at the socket; useDescriptor asks nbio before and after whether the connection is closed, also for InputEmpty. TestDescriptorOfAClosedConnectionIsNotUsed waited for PeerClosed to learn that the poller has closed the connection. PeerClosed is true earlier now, so the test waits for the poller's own mark, as it did in effect before. It failed once without that.

Cost: one system call a request, two more while clients wait.

--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -104,7 +104,7 @@
 		return
 	}
 	downstream := c.downstream
-	request, invalid := downstream.parseRequest(message)
+	request, invalid := downstream.parseRequest(message, c.arrivalTime())
 	if invalid != nil {
 		c.respondInvalid(invalid)
 		return
@@ -119,6 +119,16 @@
 	downstream.emit(request)
 }
 
+// arrivalTime returns the earliest time at which a request that is complete now may have arrived. It allows for stalls
+// of the process and for the time in the accept queue.
+func (c *connection) arrivalTime() time.Duration {
+	waited := c.socket.InputAge()
+	if waited > 0 {
+		slog.Debug("request waited in the accept queue", "waited_ms", waited.Milliseconds())
+	}
+	return min(c.downstream.arrivalTime(), c.downstream.now()-waited)
+}
+
 // abandonExchange tells the core that the pending request, if there is one, can no
 // longer get a response.
 func (c *connection) abandonExchange() {
--- a/internal/serve/downstream/request.go
+++ b/internal/serve/downstream/request.go
@@ -41,8 +41,12 @@
 }
 
 // parseRequest converts a message to the event for the core, without the exchange ID.
-// For an invalid request it returns the response instead.
-func (d *Downstream) parseRequest(message *http1.Message) (core.RequestReceived, *invalidRequest) {
+// For an invalid request it returns the response instead. The client's deadline runs from
+// the time arrived.
+func (d *Downstream) parseRequest(
+	message *http1.Message,
+	arrived time.Duration,
+) (core.RequestReceived, *invalidRequest) {
 	className, _, _ := strings.Cut(strings.TrimPrefix(message.Path(), "/"), "/")
 	class, method := d.route(className, message.Method)
 	switch {
@@ -61,7 +65,7 @@
 		Tenant:   d.tenantIndex(message.Fields.Get("x-tenant")),
 		Key:      parseKey(message.Query("k")),
 		CostHint: parseCostHint(message.Fields.Get("x-cost-hint")),
-		Deadline: d.arrivalTime() + wait - deadlineMargin,
+		Deadline: arrived + wait - deadlineMargin,
 		Message: &core.RequestMessage{
 			Method:         message.Method,
 			Target:         message.Target,
--- a/internal/serve/downstream/request_test.go
+++ b/internal/serve/downstream/request_test.go
@@ -39,7 +39,7 @@
 			{Name: "x-deadline-ms", Value: "300"},
 			{Name: "idempotency-key", Value: "key"}, {Name: "content-type", Value: "text/csv"},
 		},
-	})
+	}, time.Minute)
 	require.Nil(t, invalid)
 	require.Equal(t, core.RequestReceived{
 		ID: "r-1", Class: 1, Tenant: 1, Key: 0x7f, CostHint: 1.5,
@@ -129,7 +129,7 @@
 			}
 			_, invalid := newTestDownstream().parseRequest(&http1.Message{
 				Method: method, Target: test.target, Fields: test.fields, Body: []byte(test.body), Sized: !test.unsized,
-			})
+			}, time.Minute)
 			require.Equal(t, &invalidRequest{status: test.status, reason: test.reason, allow: test.allow}, invalid)
 		})
 	}
--- /dev/null
+++ b/internal/serve/eventloop/accept_queue.go
@@ -0,0 +1,69 @@
+package eventloop
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// acceptQueue tracks since when clients may be waiting in the kernel's accept queue of a listener. It is used by the
+// goroutine that accepts.
+type acceptQueue struct {
+	listener     net.Listener
+	waitingSince time.Time // zero: every client is accepted as soon as it connects
+}
+
+// pause records that from now on clients are left waiting.
+func (q *acceptQueue) pause() {
+	if q.waitingSince.IsZero() {
+		q.waitingSince = time.Now()
+	}
+}
+
+// resume records, if the queue is empty, that no client is waiting any more. It must be called just before a client is
+// accepted.
+func (q *acceptQueue) resume() {
+	if !q.waitingSince.IsZero() && q.empty() {
+		q.waitingSince = time.Time{}
+	}
+}
+
+// empty reports whether the queue is known to be empty.
+func (q *acceptQueue) empty() bool {
+	listener, isTCP := q.listener.(*net.TCPListener)
+	if !isTCP {
+		return false
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	empty := false
+	err = raw.Control(func(fd uintptr) {
+		ready, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		empty = pollErr == nil && ready == 0
+	})
+	return err == nil && empty
+}
+
+// InputAge returns how long the input that was received last has waited, and 0 unless the connection waited in the
+// accept queue. The kernel measures it in milliseconds. If the kernel does not say, InputAge returns the longest time
+// that is possible.
+func (c *Conn) InputAge() time.Duration {
+	if c.waitingSince.IsZero() {
+		return 0
+	}
+	longest := time.Since(c.waitingSince)
+	age := longest
+	valid := c.useDescriptor(func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			age = min(longest, time.Duration(info.Last_data_recv)*time.Millisecond)
+		}
+	})
+	if !valid {
+		return longest
+	}
+	return age
+}
--- a/internal/serve/eventloop/connection.go
+++ b/internal/serve/eventloop/connection.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
@@ -33,6 +34,8 @@
 	closed      bool          // Close or Handler.Closed was called
 	dialed      bool          // opened by this process to a server, whose close may delimit a response
 
+	waitingSince time.Time // earliest time at which it came into the accept queue; zero: accepted at once
+
 	writtenBytes atomic.Int64 // total that the kernel has accepted
 	unhandled    atomic.Int32 // reads in progress, and pieces of data that the handler has not received yet
 	discardInput atomic.Bool  // further input is discarded
@@ -61,8 +64,20 @@
 func (c *Conn) DiscardInput() { c.discardInput.Store(true) }
 
 // PeerClosed reports whether the peer has closed or broken the connection, even if Handler.Closed
-// has not been called yet. After Close it may be true, too.
-func (c *Conn) PeerClosed() bool { return c.peerClosed.Load() }
+// has not been called yet or the poller has not read the close. After Close it may be true, too.
+func (c *Conn) PeerClosed() bool {
+	if c.peerClosed.Load() {
+		return true
+	}
+	closed := false
+	valid := c.useDescriptor(func(fd int) {
+		size, err := peek(fd)
+		inputEnded := err == nil && size == 0
+		broken := err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		closed = inputEnded || broken
+	})
+	return closed || !valid
+}
 
 // InputEmpty reports whether the connection is open and no input waits to be handled: neither in
 // the kernel nor between the poller and the handler. Bytes move from the kernel to the handler, so
@@ -72,12 +87,19 @@
 		return false
 	}
 	empty := false
-	c.useDescriptor(func(fd int) {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	valid := c.useDescriptor(func(fd int) {
+		_, err := peek(fd)
 		empty = errors.Is(err, syscall.EAGAIN)
 	})
-	return empty && c.unhandled.Load() == 0
+	return valid && empty && c.unhandled.Load() == 0
+}
+
+// peek returns 1 if input waits in the kernel, 0 if the peer has closed the connection, and EAGAIN if
+// neither is the case.
+func peek(fd int) (size int, err error) {
+	var one [1]byte
+	size, _, err = syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return size, err
 }
 
 // UnsentBytes returns the number of bytes passed to Write that the kernel has not accepted yet.
@@ -100,21 +122,31 @@
 	c.useDescriptor(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) })
 }
 
-// useDescriptor calls use with the descriptor, unless the poller has closed the connection: the
-// kernel may have reused the number for another connection by then.
-func (c *Conn) useDescriptor(use func(fd int)) {
+// useDescriptor calls use with the descriptor, unless the connection has been closed: the kernel
+// may have reused the number for another connection by then. If it returns false, the connection is
+// closed, and what use found out may be about another connection.
+func (c *Conn) useDescriptor(use func(fd int)) (valid bool) {
 	c.descriptorMutex.Lock()
 	defer c.descriptorMutex.Unlock()
-	if c.descriptorGone {
-		return
+	if c.descriptorGone || c.socketClosed() {
+		return false
 	}
-	if raw, err := c.socket.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { use(int(fd)) })
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return false
 	}
+	err = raw.Control(func(fd uintptr) { use(int(fd)) })
+	return err == nil && !c.socketClosed()
+}
+
+// socketClosed reports whether nbio has closed the connection. nbio sets this before it closes the
+// descriptor, and calls connectionClosed only later.
+func (c *Conn) socketClosed() bool {
+	closed, _ := c.socket.IsClosed()
+	return closed
 }
 
-// releaseDescriptor makes useDescriptor a no-op. nbio reports a close before it closes the
-// descriptor.
+// releaseDescriptor makes useDescriptor a no-op.
 func (c *Conn) releaseDescriptor() {
 	c.descriptorMutex.Lock()
 	c.descriptorGone = true
--- a/internal/serve/eventloop/listener.go
+++ b/internal/serve/eventloop/listener.go
@@ -30,10 +30,11 @@
 	limit      func() int64  // nothing is accepted while open has reached it
 	shed       func()        // closes connections that can be spared; called at the limit and after a failed accept
 
-	mu       sync.Mutex
-	file     *os.File     // inherited socket, which other processes hold, too; nil: not inherited
-	listener net.Listener // nil: not accepting
-	address  string
+	mu        sync.Mutex
+	file      *os.File     // inherited socket, which other processes hold, too; nil: not inherited
+	listener  net.Listener // nil: not accepting
+	stoppedAt time.Time    // when Stop was called, or Inherit; zero: neither was
+	address   string
 }
 
 // ClientListener returns a listener for clients. Its connections count toward the loop's descriptor
@@ -81,6 +82,7 @@
 		return err
 	}
 	l.file = file
+	l.stoppedAt = time.Now()
 	l.address = listener.Addr().String()
 	return listener.Close()
 }
@@ -120,6 +122,7 @@
 	if l.listener != nil {
 		_ = l.listener.Close()
 		l.listener = nil
+		l.stoppedAt = time.Now()
 	}
 }
 
@@ -127,37 +130,41 @@
 	l.mu.Lock()
 	l.listener = listener
 	l.address = listener.Addr().String()
+	queue := &acceptQueue{listener: listener, waitingSince: l.stoppedAt}
 	l.mu.Unlock()
 	// Owned by the Listener; ends once Stop has closed the socket and open is below the limit.
-	go l.acceptAll(listener)
+	go l.acceptAll(queue)
 }
 
 // acceptAll accepts connections until the socket is closed. While open is at the limit, acceptAll
 // sheds and waits, even after the close.
-func (l *Listener) acceptAll(listener net.Listener) {
+func (l *Listener) acceptAll(queue *acceptQueue) {
 	for {
 		for l.open.Load() >= l.limit() {
+			queue.pause()
 			l.loop.Post(l.shed)
 			time.Sleep(limitRetry)
 		}
-		accepted, err := listener.Accept()
+		queue.resume()
+		accepted, err := queue.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil { // most likely out of descriptors: other connections must close first
 			slog.Warn("accept failed", "err", err)
+			queue.pause()
 			l.loop.Post(l.shed)
 			time.Sleep(acceptRetry)
 			continue
 		}
-		l.handOff(accepted)
+		l.handOff(accepted, queue.waitingSince)
 	}
 }
 
-// handOff passes an accepted connection to the owning goroutine.
-func (l *Listener) handOff(accepted net.Conn) {
+// handOff passes an accepted connection to the owning goroutine. waitingSince is that of the accept queue.
+func (l *Listener) handOff(accepted net.Conn, waitingSince time.Time) {
 	l.open.Add(1)
-	connection := &Conn{openCount: l.open}
+	connection := &Conn{openCount: l.open, waitingSince: waitingSince}
 	l.loop.Post(func() {
 		connection.handler = l.newHandler(connection)
 		if err := l.loop.register(accepted, connection); err != nil {
--- a/internal/serve/eventloop/loop_test.go
+++ b/internal/serve/eventloop/loop_test.go
@@ -270,7 +270,7 @@
 	})
 	<-entered
 	require.NoError(t, firstPeer.Close())
-	require.Eventually(t, first.PeerClosed, 10*time.Second, time.Millisecond)
+	require.Eventually(t, first.peerClosed.Load, 10*time.Second, time.Millisecond) // the poller has closed it
 	close(leave)
 	require.False(t, <-used)
 }
