--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -59,6 +59,15 @@
 	return path
 }
 
+// FirstSegment returns the first part of a target's path, which names the request's class.
+func FirstSegment(target string) string {
+	segment := strings.TrimPrefix(target, "/")
+	if end := strings.IndexAny(segment, "/?"); end >= 0 {
+		segment = segment[:end]
+	}
+	return segment
+}
+
 // Query returns the value of the first query parameter with the given name, without
 // percent-decoding, or "" if there is none.
 func (m *Message) Query(name string) string {
--- a/internal/serve/downstream/accept_queue_test.go
+++ b/internal/serve/downstream/accept_queue_test.go
@@ -20,21 +20,19 @@
 func (f *fixture) queueClients(count int) []net.Conn {
 	f.t.Helper()
 	f.SetDescriptorLimit(eventloop.ReservedDescriptors) // nothing is left for clients
-	f.dial("GET " + healthPath + " HTTP/1.1\r\nHost: b\r\n\r\n")
+	f.dialAndSend("GET " + healthPath + " HTTP/1.1\r\nHost: b\r\n\r\n")
 	var clients []net.Conn
 	for range count {
-		clients = append(clients, f.dial("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\n\r\n"))
+		clients = append(clients, f.dialAndSend("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\n\r\n"))
 	}
 	return clients
 }
 
-// dial connects and sends a request without waiting until the connection is accepted.
-func (f *fixture) dial(request string) net.Conn {
+// dialAndSend connects and sends a request without waiting until the connection is accepted.
+func (f *fixture) dialAndSend(request string) net.Conn {
 	f.t.Helper()
-	client, err := net.Dial("tcp", f.listener.Addr())
-	require.NoError(f.t, err)
-	f.t.Cleanup(func() { _ = client.Close() })
-	_, err = io.WriteString(client, request)
+	client := f.dial()
+	_, err := io.WriteString(client, request)
 	require.NoError(f.t, err)
 	return client
 }
--- a/internal/serve/downstream/fixture_test.go
+++ b/internal/serve/downstream/fixture_test.go
@@ -94,13 +94,20 @@
 	handler *observedHandler
 }
 
-// connect opens a connection and waits until it is accepted.
-func (f *fixture) connect() *testClient {
+// dial opens a connection, which is closed when the test ends.
+func (f *fixture) dial() net.Conn {
 	f.t.Helper()
 	conn, err := net.Dial("tcp", f.listener.Addr())
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = conn.Close() })
 	require.NoError(f.t, conn.SetDeadline(time.Now().Add(servetest.Timeout)))
+	return conn
+}
+
+// connect opens a connection and waits until it is accepted.
+func (f *fixture) connect() *testClient {
+	f.t.Helper()
+	conn := f.dial()
 	client := &testClient{fixture: f, Conn: conn, reader: bufio.NewReader(conn), handler: <-f.accepted}
 	f.Do(func() {}) // wait: the loop registers the connection after it has created the handler
 	return client
--- a/internal/serve/downstream/request.go
+++ b/internal/serve/downstream/request.go
@@ -47,7 +47,7 @@
 	message *http1.Message,
 	arrived time.Duration,
 ) (core.RequestReceived, *invalidRequest) {
-	className, _, _ := strings.Cut(strings.TrimPrefix(message.Path(), "/"), "/")
+	className := http1.FirstSegment(message.Target)
 	class, method := d.route(className, message.Method)
 	switch {
 	case method == "":
--- a/internal/serve/eventloop/accept_queue.go
+++ b/internal/serve/eventloop/accept_queue.go
@@ -55,15 +55,15 @@
 		return 0
 	}
 	longest := time.Since(c.waitingSince)
-	age := longest
+	measured := longest
 	valid := c.useDescriptor(func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil {
-			age = min(longest, time.Duration(info.Last_data_recv)*time.Millisecond)
+			measured = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
 	if !valid {
 		return longest
 	}
-	return age
+	return min(longest, measured)
 }
--- a/internal/serve/eventloop/connection.go
+++ b/internal/serve/eventloop/connection.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,10 +39,7 @@
 	unhandled    atomic.Int32 // reads in progress, and pieces of data that the handler has not received yet
 	discardInput atomic.Bool  // further input is discarded
 	prioritized  atomic.Bool  // its data is handled first after a stall
-
-	descriptorMutex sync.Mutex  // held while the descriptor is used outside the poller
-	descriptorGone  bool        // nbio is about to close the descriptor, and the kernel may reuse its number
-	peerClosed      atomic.Bool // see PeerClosed
+	peerClosed   atomic.Bool  // see PeerClosed
 }
 
 // Write sends data; what the kernel does not accept at once is queued and sent later. An error
@@ -126,9 +122,7 @@
 // may have reused the number for another connection by then. If it returns false, the connection is
 // closed, and what use found out may be about another connection.
 func (c *Conn) useDescriptor(use func(fd int)) (valid bool) {
-	c.descriptorMutex.Lock()
-	defer c.descriptorMutex.Unlock()
-	if c.descriptorGone || c.socketClosed() {
+	if c.socketClosed() {
 		return false
 	}
 	raw, err := c.socket.SyscallConn()
@@ -146,13 +140,6 @@
 	return closed
 }
 
-// releaseDescriptor makes useDescriptor a no-op.
-func (c *Conn) releaseDescriptor() {
-	c.descriptorMutex.Lock()
-	c.descriptorGone = true
-	c.descriptorMutex.Unlock()
-}
-
 // deliver passes data to the handler. A panic in the handler closes this connection only.
 func (c *Conn) deliver(data []byte) {
 	if c.closed {
--- a/internal/serve/eventloop/poller.go
+++ b/internal/serve/eventloop/poller.go
@@ -85,7 +85,6 @@
 	if !ok {
 		return
 	}
-	connection.releaseDescriptor()
 	l.mailbox.mu.Lock() // makes the fields of a new connection visible here, as in read
 	connection.peerClosed.Store(true)
 	l.mailbox.mu.Unlock()
--- a/internal/serve/upstream/attempt.go
+++ b/internal/serve/upstream/attempt.go
@@ -20,7 +20,6 @@
 	healthCheck bool
 	pool        *pool
 	request     *core.RequestMessage
-	class       string // see requestClass
 	digest      uint64 // see digestRequest
 	deadline    time.Duration
 	connection  *connection // nil: none is assigned
--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -98,8 +98,8 @@
 		c.fail(Malformed, errRepeatedResponse)
 	default:
 		c.carried.add(digests, now)
-		c.pool.upstream.history.add(c.attempt.class, digests)
-		c.responseReceived(response, digests)
+		distinct := c.pool.upstream.history.add(http1.FirstSegment(c.attempt.request.Target), digests)
+		c.responseReceived(response, distinct)
 	}
 }
 
@@ -110,7 +110,7 @@
 	responsePending := c.attempt != nil && c.requestWritten && c.responseStarted
 	if responsePending && errors.Is(err, io.EOF) {
 		if response := c.parser.End(); response != nil {
-			c.responseReceived(response, exchangeDigests{})
+			c.responseReceived(response, false)
 			return
 		}
 	}
@@ -181,8 +181,9 @@
 }
 
 // responseReceived ends the attempt with the server's response. The connection
-// settles if it can be reused, and is closed otherwise.
-func (c *connection) responseReceived(response *http1.Message, digests exchangeDigests) {
+// settles if it can be reused, and is closed otherwise. distinct is what
+// responseHistory.add has returned for the response.
+func (c *connection) responseReceived(response *http1.Message, distinct bool) {
 	attempt := c.attempt
 	c.attempt = nil
 	attempt.connection = nil
@@ -190,7 +191,7 @@
 	c.responses++
 	c.lastRequestID = attempt.request.ID
 	c.logResponse(attempt, response)
-	if c.reusableAfter(attempt, response) && c.pool.upstream.history.distinguishable(attempt.class, digests) {
+	if distinct && c.reusableAfter(attempt, response) {
 		c.pool.settle(c)
 	} else {
 		c.closeAndReplace()
--- a/internal/serve/upstream/repeated_response_test.go
+++ b/internal/serve/upstream/repeated_response_test.go
@@ -39,17 +39,6 @@
 	require.Equal(f.t, body, string(completed.Response.Body))
 }
 
-// awaitDropped waits until a response to an attempt is dropped.
-func (f *fixture) awaitDropped(ref core.AttemptRef) {
-	f.t.Helper()
-	dropped := func() (dropped bool) {
-		f.Do(func() { dropped = f.upstream.attempts[ref].connection.repeatDropped })
-		return dropped
-	}
-	require.Eventually(f.t, dropped, servetest.Timeout, servetest.ShortTime)
-	f.awaitRead()
-}
-
 // startSecondAttempt has a connection carry a request, whose response is "first", and then another one. It returns when
 // the server has read that one.
 func (f *fixture) startSecondAttempt() (*servetest.Peer, core.AttemptRef) {
@@ -61,12 +50,25 @@
 	return connection, ref
 }
 
+// startAttemptWithRepeat is startSecondAttempt, but the second request has got a second copy of "first", which was
+// dropped.
+func (f *fixture) startAttemptWithRepeat() (*servetest.Peer, core.AttemptRef) {
+	f.t.Helper()
+	connection, ref := f.startSecondAttempt()
+	connection.Send(responseWith("first"))
+	dropped := func() (dropped bool) {
+		f.Do(func() { dropped = f.upstream.attempts[ref].connection.repeatDropped })
+		return dropped
+	}
+	require.Eventually(f.t, dropped, servetest.Timeout, servetest.ShortTime)
+	f.awaitRead()
+	return connection, ref
+}
+
 // A request must get its own response even if that takes much longer than the second response to the request before.
 func TestSecondResponseIsNeverServedHoweverSlowTheOwnOneIs(t *testing.T) {
 	f := newFixture(t)
-	connection, ref := f.startSecondAttempt()
-	connection.Send(responseWith("first"))
-	f.awaitDropped(ref)
+	connection, ref := f.startAttemptWithRepeat()
 	f.advance(time.Hour - 1)
 	require.Empty(t, f.Events)
 	connection.Send(responseWith("second"))
@@ -77,9 +79,7 @@
 // A response that promises that nothing was executed is not trusted on a connection that has got one response too many.
 func TestRejectionBehindASecondResponseFailsTheAttempt(t *testing.T) {
 	f := newFixture(t)
-	connection, ref := f.startSecondAttempt()
-	connection.Send(responseWith("first"))
-	f.awaitDropped(ref)
+	connection, ref := f.startAttemptWithRepeat()
 	require.Empty(t, f.Events)
 	connection.Send("HTTP/1.1 504 Expired\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Error}, <-f.Events)
@@ -97,9 +97,7 @@
 // A server that breaks the connection behind a second response may have executed the request.
 func TestCloseBehindASecondResponseFailsTheAttempt(t *testing.T) {
 	f := newFixture(t)
-	connection, ref := f.startSecondAttempt()
-	connection.Send(responseWith("first"))
-	f.awaitDropped(ref)
+	connection, ref := f.startAttemptWithRepeat()
 	require.NoError(t, connection.Close())
 	require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Reset}, <-f.Events)
 }
--- a/internal/serve/upstream/response_history.go
+++ b/internal/serve/upstream/response_history.go
@@ -103,15 +103,6 @@
 	return c[len(c)-1].at
 }
 
-// requestClass returns the class that a request names: the first part of its path.
-func requestClass(request *core.RequestMessage) string {
-	class := strings.TrimPrefix(request.Target, "/")
-	if end := strings.IndexAny(class, "/?"); end >= 0 {
-		class = class[:end]
-	}
-	return class
-}
-
 // responseHistory knows which responses are distinguishable, that is, given to one request only. Others are common:
 // servers give them to many requests, such as an empty one. Connections are reused behind distinguishable responses
 // only, because a second copy of a common response could not be told from the response to the next request.
@@ -132,18 +123,20 @@
 	return responseHistory{responses: responses, distinctInRow: map[string]int{}}
 }
 
-// add records a response to a request of a class. The response becomes common if its
-// previous occurrence was for a different request, and then stays common.
-func (h *responseHistory) add(class string, digests exchangeDigests) {
+// add records a response to a request of a class. The response becomes common if its previous occurrence was for a
+// different request, and then stays common. add returns whether the response is distinguishable: it is not common, and
+// the last responses of its class were distinct.
+func (h *responseHistory) add(class string, digests exchangeDigests) (distinguishable bool) {
 	seen, known := h.responses.Get(digests.response)
 	common := seen.common || known && seen.request != digests.request
 	h.responses.Add(digests.response, seenResponse{request: digests.request, common: common})
 	switch {
 	case common:
-		h.distinctInRow[strings.Clone(class)] = 0
+		delete(h.distinctInRow, class)
 	case !known && h.distinctInRow[class] < distinctBeforeReuse:
-		h.distinctInRow[strings.Clone(class)]++
+		h.distinctInRow[strings.Clone(class)]++ // a copy, because class is part of a request
 	}
+	return h.distinctInRow[class] >= distinctBeforeReuse
 }
 
 // addCommon records a response as common because a connection got it twice. It may be one that servers give to many
@@ -151,10 +144,3 @@
 func (h *responseHistory) addCommon(digests exchangeDigests) {
 	h.responses.Add(digests.response, seenResponse{request: digests.request, common: true})
 }
-
-// distinguishable reports whether a response can be told from the responses to other requests: it is not common, and
-// the last responses of its class were distinct.
-func (h *responseHistory) distinguishable(class string, digests exchangeDigests) bool {
-	seen, _ := h.responses.Peek(digests.response)
-	return !seen.common && h.distinctInRow[class] >= distinctBeforeReuse
-}
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -73,7 +73,6 @@
 		ref:      effect.Ref,
 		pool:     u.poolFor(effect.To),
 		request:  effect.Message,
-		class:    requestClass(effect.Message),
 		digest:   digestRequest(effect.Message),
 		deadline: u.now() + effect.Timeout,
 	}
@@ -119,8 +118,7 @@
 // Tick must be called once per core.TickInterval. It makes settled connections
 // available, closes connections that were idle for too long, removes unused pools of
 // draining endpoints, fails attempts whose response has stalled, and ends overdue health
-// checks. All other timeouts of
-// attempts, except that of dials, belong to the core.
+// checks. All other timeouts of attempts, except that of dials, belong to the core.
 func (u *Upstream) Tick() {
 	now := u.now()
 	u.endOverdueHealthChecks(now)
