Trust no rejection that the close ends behind a dropped second response

What callers could see: a request of an unsafe class sent again though it may have run. Found by reading, not seen.

Cause: a response that the close delimits went past responseParsed (connection.Closed), so the check that a rejection behind a dropped response proves nothing was not made for it.

Change: it takes the same path as every other response. It is never dropped itself: its framing equals none that was kept.

Result: TestRejectionEndedByCloseBehindASecondResponseFailsTheAttempt failed before (the rejection was taken for the promise that nothing ran); the package's tests passed ten runs with the race detector.

--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -105,12 +105,13 @@
 
 // Closed implements eventloop.Handler: the connection has ended. An orderly close
 // completes a response whose body is delimited by the close. After an error other
-// than io.EOF, such a response is truncated and must not count as complete.
+// than io.EOF, such a response is truncated and must not count as complete. It is never
+// dropped as a repeat, because no response that leaves the connection open equals it.
 func (c *connection) Closed(err error) {
 	responsePending := c.attempt != nil && c.requestWritten && c.responseStarted
 	if responsePending && errors.Is(err, io.EOF) {
 		if response := c.parser.End(); response != nil {
-			c.responseReceived(response, false)
+			c.responseParsed(response)
 			return
 		}
 	}
--- a/internal/serve/upstream/repeated_response_test.go
+++ b/internal/serve/upstream/repeated_response_test.go
@@ -94,6 +94,15 @@
 	connection.RequireClosed()
 }
 
+// The same holds if the close delimits the response.
+func TestRejectionEndedByCloseBehindASecondResponseFailsTheAttempt(t *testing.T) {
+	f := newFixture(t)
+	connection, ref := f.startAttemptWithRepeat()
+	connection.Send("HTTP/1.1 504 Expired\r\nX-Not-Run: 1\r\n\r\n")
+	require.NoError(t, connection.Close())
+	require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Error}, <-f.Events)
+}
+
 // A server that breaks the connection behind a second response may have executed the request.
 func TestCloseBehindASecondResponseFailsTheAttempt(t *testing.T) {
 	f := newFixture(t)
