Replace connections of load clients whose dial was late

Cause: the load client, not the balancer. On a busy machine the client's dial returned 79 to 120 ms after it had begun, so the connection had been silent for over 50 ms; the balancer shed it, as it may ("new connections may be shut unread then").

Excluded: a connection closed by another one's descriptor number (the balancer's own log line names its address), a request that was read (received_data=false).

Change: a client whose dial took 50 ms or more closes that connection and dials again, up to three dials. What counts as a violation is unchanged.

--- a/internal/lab/load/connection.go
+++ b/internal/lab/load/connection.go
@@ -20,6 +20,11 @@
 	// maxPicks bounds how often a balancer is picked for one attempt. Another pick is needed if the picked
 	// balancer must get no new connections and has no idle one.
 	maxPicks = 8
+	// maxSilence is how long a new connection may stay silent. Balancers close silent connections only later, even
+	// if descriptors are short.
+	maxSilence = 50 * time.Millisecond
+	// maxDials bounds the dials for one connection that is ready within maxSilence.
+	maxDials = 3
 	// maxResponseSize bounds a response, bytes.
 	maxResponseSize = 1 << 20
 )
@@ -57,8 +62,10 @@
 		if picked.OnlyOpen {
 			continue
 		}
-		dialer := net.Dialer{Timeout: max(target.deadline-c.Clock(), time.Millisecond)}
-		conn, err := dialer.DialContext(ctx, "tcp", picked.Address)
+		conn, err := dialPromptly(func() (net.Conn, error) {
+			dialer := net.Dialer{Timeout: max(target.deadline-c.Clock(), time.Millisecond)}
+			return dialer.DialContext(ctx, "tcp", picked.Address)
+		})
 		if err != nil {
 			return nil, picked, err
 		}
@@ -67,6 +74,20 @@
 	return nil, Picked{}, errNoBalancer
 }
 
+// dialPromptly dials until a connection is returned soon enough for its request to follow at once. On a busy machine
+// a dial may return long after the balancer has accepted the connection, and a balancer that is short of descriptors
+// may have closed the silent connection by then. After maxDials, the last connection is returned in any case.
+func dialPromptly(dial func() (net.Conn, error)) (net.Conn, error) {
+	for dials := 1; ; dials++ {
+		started := time.Now()
+		conn, err := dial()
+		if err != nil || time.Since(started) < maxSilence || dials == maxDials {
+			return conn, err
+		}
+		_ = conn.Close()
+	}
+}
+
 // attemptTarget is the zone of an attempt's client and the deadline of the attempt.
 type attemptTarget struct {
 	zone     int
