Protect equal requests for as long as others, and reuse connections less

Callers could see: a client that reads one key again 0.5 to 2 s later got the second response to its read before, if that was as late; a request whose response equals an earlier one of its connection lost it.

Cause: equal requests shared a connection again after 500 ms, while responses were compared for 2 s; a class whose responses are equal now and then was trusted again after four distinct ones each time.

Change: one bound, repeatWindow (2 s), for both, which makes equalRequestWindow and the comparison's special case go. Each response that proves common, also by being dropped, doubles the distinct ones that its class must show (4 to 512).

--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -34,8 +34,8 @@
 	responseStarted bool // part of a response has arrived
 }
 
-// canCarry reports whether the connection may carry an attempt. Shortly after an equal request it may not, because a
-// second response to that request could be mistaken for the attempt's response. Health checks are exempt: their
+// canCarry reports whether the connection may carry an attempt. Within repeatWindow after an equal request it may not:
+// equal requests often get equal responses, so a second response to that request could be mistaken for the attempt's. Health checks are exempt: their
 // connections are not reused.
 func (c *connection) canCarry(attempt *attempt, now time.Duration) bool {
 	return attempt.healthCheck || !c.carried.hasRequest(attempt.digest, now)
@@ -91,7 +91,7 @@
 	now := c.pool.upstream.now()
 	digests := exchangeDigests{request: c.attempt.digest, response: digestResponse(response)}
 	switch {
-	case c.isRepeat(digests, now):
+	case c.isRepeat(digests.response, now):
 		c.dropRepeat(digests)
 	case c.repeatDropped && response.Status != http1.StatusOK:
 		// If the dropped response was the attempt's own after all, this one must not prove that nothing was executed.
--- a/internal/serve/upstream/repeated_response.go
+++ b/internal/serve/upstream/repeated_response.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"piernotch/internal/http1"
 	"piernotch/internal/serve/core"
 )
 
@@ -13,8 +14,8 @@
 // isRepeat reports whether a response is a second response to an earlier request: the connection has recently carried
 // an equal one. Requests that may get equal responses do not share a connection: see canCarry and responseHistory. The
 // result is always false for a health check.
-func (c *connection) isRepeat(digests exchangeDigests, now time.Duration) bool {
-	return !c.attempt.healthCheck && c.carried.hasResponse(digests, now)
+func (c *connection) isRepeat(response uint64, now time.Duration) bool {
+	return !c.attempt.healthCheck && c.carried.hasResponse(response, now)
 }
 
 // dropRepeat drops a second response to an earlier request, and reports it to repeatReceived. The attempt's own
@@ -24,7 +25,8 @@
 	c.responseStarted = !c.parser.Idle()
 	slog.Info("repeated response dropped", "id", c.attempt.request.ID, "server", c.pool.endpoint.Address,
 		"connection", c.number, "last_id", c.lastRequestID)
-	c.pool.upstream.history.addCommon(digests)
+	// It may be one that servers give to many requests after all.
+	c.pool.upstream.history.addCommon(http1.FirstSegment(c.attempt.request.Target), digests)
 	c.pool.upstream.repeatReceived(c.pool.endpoint, c.sinceLastResponse())
 }
 
--- a/internal/serve/upstream/repeated_response_test.go
+++ b/internal/serve/upstream/repeated_response_test.go
@@ -134,6 +134,34 @@
 	f.serveAt("/write?k=d", "d", nil).RequireClosed()
 }
 
+// Where responses of a class are equal now and then, an equal one must not be taken for a second response, so each makes
+// the class wait for more distinct ones.
+func TestEachEqualResponseDoublesDistinctOnesBeforeReuse(t *testing.T) {
+	f := newFixture(t)
+	f.serveAt("/write?k=a", "same", nil).RequireClosed()
+	f.serveAt("/write?k=b", "same", nil).RequireClosed()
+	for i := range 2*distinctBeforeReuse - 1 {
+		f.serveAt(fmt.Sprintf("/write?k=%d", i), fmt.Sprint(i), nil).RequireClosed()
+	}
+	connection := f.serveAt("/write?k=c", "c", nil)
+	f.advance(settleTime)
+	f.serveAt("/write?k=d", "d", connection)
+}
+
+// An equal request that comes long after the first one must not get the second response to that one either.
+func TestEqualRequestIsNotCarriedUntilRepeatWindowIsOver(t *testing.T) {
+	f := newFixture(t)
+	connection := f.serveAt("/read?k=1", "first", nil)
+	f.advance(repeatWindow - settleTime)
+	ref := f.startAttemptAt("/read?k=1", time.Hour)
+	other := f.accept()
+	other.RequestHead()
+	connection.Send(responseWith("first"))
+	connection.RequireClosed()
+	other.Send(responseWith("second"))
+	f.requireServed(ref, "second")
+}
+
 // A client that reads one key again at once must not get the second response to its earlier read.
 func TestEqualRequestNeverGetsSecondResponseToTheEarlierOne(t *testing.T) {
 	f := newFixture(t)
@@ -157,7 +185,7 @@
 	latest := f.serveAt("/read?k=first", "same", nil)
 	f.advance(settleTime)
 	f.serveAt("/read?k=second", "other", latest)
-	f.advance(equalRequestWindow)
+	f.advance(repeatWindow)
 	f.serveAt("/read?k=first", "same", latest)
 }
 
--- a/internal/serve/upstream/response_history.go
+++ b/internal/serve/upstream/response_history.go
@@ -17,19 +17,17 @@
 	// with. Because of settleTime, a connection cannot carry more of them within repeatWindow.
 	rememberedPerConnection = int(repeatWindow / settleTime)
 	// distinctBeforeReuse is how many responses in a row of a class must have been distinct before connections are
-	// reused behind a response of the class.
-	distinctBeforeReuse = 4
+	// reused behind a response of the class. The number doubles with each response of the class that was not, up to
+	// maxDistinctBeforeReuse.
+	distinctBeforeReuse    = 4
+	maxDistinctBeforeReuse = rememberedResponses
 	// rememberedResponses is the number of responses of all servers that are remembered to recognize common ones
 	// (see responseHistory).
 	rememberedResponses = 512
-	// repeatWindow is the maximum delay of a second response after the first one. Responses that come later are not
-	// compared with the first one, and data that comes later does not start single use.
+	// repeatWindow is the maximum delay of a second response after the first one. Until then a connection carries no
+	// request equal to that of the first one, and its responses are compared with the first one. Data that comes
+	// later does not start single use.
 	repeatWindow = 2 * time.Second
-	// equalRequestWindow is the time after a response in which its connection does not carry an equal request. Equal
-	// requests often get equal responses, so a second response to the first of them could not be told from the
-	// response to the second one. The window exceeds any plausible delay of a second response, and is short because
-	// each equal request within it takes a connection of its own.
-	equalRequestWindow = 500 * time.Millisecond
 )
 
 // exchangeDigests holds the hashes of a request and of the response that was read for it.
@@ -76,22 +74,17 @@
 	*c = append(*c, carriedExchange{exchangeDigests: digests, at: now})
 }
 
-// hasResponse reports whether the connection has carried an equal response that a new response may repeat: one of the
-// last repeatWindow, or, if it was for an equal request, of the last equalRequestWindow.
-func (c carriedExchanges) hasResponse(digests exchangeDigests, now time.Duration) bool {
+// hasResponse reports whether the connection has carried an equal response within the last repeatWindow.
+func (c carriedExchanges) hasResponse(response uint64, now time.Duration) bool {
 	return slices.ContainsFunc(c, func(earlier carriedExchange) bool {
-		window := repeatWindow
-		if earlier.request == digests.request {
-			window = equalRequestWindow
-		}
-		return earlier.response == digests.response && now-earlier.at <= window
+		return earlier.response == response && now-earlier.at <= repeatWindow
 	})
 }
 
-// hasRequest reports whether the connection has carried an equal request within the last equalRequestWindow.
+// hasRequest reports whether the connection has carried an equal request within the last repeatWindow.
 func (c carriedExchanges) hasRequest(request uint64, now time.Duration) bool {
 	return slices.ContainsFunc(c, func(earlier carriedExchange) bool {
-		return earlier.request == request && now-earlier.at <= equalRequestWindow
+		return earlier.request == request && now-earlier.at <= repeatWindow
 	})
 }
 
@@ -108,8 +101,7 @@
 // only, because a second copy of a common response could not be told from the response to the next request.
 type responseHistory struct {
 	responses *simplelru.LRU[uint64, seenResponse]
-	// distinctInRow counts, by class, the last responses that no other request got before.
-	distinctInRow map[string]int
+	classes   map[string]*classHistory
 }
 
 // seenResponse describes the last occurrence of a response.
@@ -118,9 +110,15 @@
 	common  bool   // servers give the response to many requests
 }
 
+// classHistory describes the responses to the requests of a class.
+type classHistory struct {
+	distinctInRow int // last responses in a row that no other request got before
+	required      int // distinctInRow from which on connections are reused
+}
+
 func newResponseHistory() responseHistory {
 	responses, _ := simplelru.NewLRU[uint64, seenResponse](rememberedResponses, nil) // fails only for a size below 1
-	return responseHistory{responses: responses, distinctInRow: map[string]int{}}
+	return responseHistory{responses: responses, classes: map[string]*classHistory{}}
 }
 
 // add records a response to a request of a class. The response becomes common if its previous occurrence was for a
@@ -128,19 +126,32 @@
 // the last responses of its class were distinct.
 func (h *responseHistory) add(class string, digests exchangeDigests) (distinguishable bool) {
 	seen, known := h.responses.Get(digests.response)
-	common := seen.common || known && seen.request != digests.request
-	h.responses.Add(digests.response, seenResponse{request: digests.request, common: common})
-	switch {
-	case common:
-		delete(h.distinctInRow, class)
-	case !known && h.distinctInRow[class] < distinctBeforeReuse:
-		h.distinctInRow[strings.Clone(class)]++ // a copy, because class is part of a request
+	if seen.common || known && seen.request != digests.request {
+		h.addCommon(class, digests)
+		return false
+	}
+	h.responses.Add(digests.response, seenResponse{request: digests.request})
+	history := h.class(class)
+	if !known {
+		history.distinctInRow++
 	}
-	return h.distinctInRow[class] >= distinctBeforeReuse
+	return history.distinctInRow >= history.required
 }
 
-// addCommon records a response as common because a connection got it twice. It may be one that servers give to many
-// requests, and then connections must not be reused behind it.
-func (h *responseHistory) addCommon(digests exchangeDigests) {
+// addCommon records a response to a request of a class as common. The next responses of the class may be common, too.
+func (h *responseHistory) addCommon(class string, digests exchangeDigests) {
 	h.responses.Add(digests.response, seenResponse{request: digests.request, common: true})
+	history := h.class(class)
+	history.distinctInRow = 0
+	history.required = min(2*history.required, maxDistinctBeforeReuse)
+}
+
+// class returns the history of a class.
+func (h *responseHistory) class(name string) *classHistory {
+	history := h.classes[name]
+	if history == nil {
+		history = &classHistory{required: distinctBeforeReuse}
+		h.classes[strings.Clone(name)] = history // a copy, because name is part of a request
+	}
+	return history
 }
--- a/internal/serve/upstream/timeouts_test.go
+++ b/internal/serve/upstream/timeouts_test.go
@@ -41,7 +41,7 @@
 		KeepAlive:   testKeepAlive,
 		DialTimeout: servetest.Timeout,
 	})
-	f.upstream.history.distinctInRow["read"] = distinctBeforeReuse // so that connections are reused
+	f.upstream.history.class("read").distinctInRow = distinctBeforeReuse // so that connections are reused
 	return f
 }
 
