Shed half requests sooner while complete ones wait in the accept queue

Cause: an incomplete request held its descriptor for 0.5 s, whatever waited. On a related path, an incomplete request was shed although its end had arrived unread, so a request that counts as taken was closed without a response.

Change: Listener.QueueTime tells Shed for how long clients may have been waiting; from 0.1 s on, incomplete requests are shed after 0.1 s. They are not shed with unread input.

--- a/internal/serve/downstream/fixture_test.go
+++ b/internal/serve/downstream/fixture_test.go
@@ -60,18 +60,23 @@
 // all data.
 func (f *fixture) awaitRead() {
 	f.t.Helper()
-	done := func() bool {
-		empty := true
-		f.Do(func() {
-			for c := range f.downstream.connections {
-				empty = empty && c.socket.InputEmpty()
-			}
-		})
+	done := func() (empty bool) {
+		f.Do(func() { empty = f.inputEmpty() })
 		return empty
 	}
 	require.Eventually(f.t, done, servetest.Timeout, time.Millisecond)
 }
 
+// inputEmpty reports whether no connection has unread input. It must be called on the loop's owning goroutine.
+func (f *fixture) inputEmpty() bool {
+	for c := range f.downstream.connections {
+		if !c.socket.InputEmpty() {
+			return false
+		}
+	}
+	return true
+}
+
 // advance waits until all input was read, moves the clock forward, and calls Tick, which enforces the timeouts.
 func (f *fixture) advance(by time.Duration) {
 	f.t.Helper()
--- a/internal/serve/downstream/shedding.go
+++ b/internal/serve/downstream/shedding.go
@@ -19,26 +19,38 @@
 	shedMinIdle      = 100 * time.Millisecond
 )
 
+// Once clients may have been waiting in the accept queue for longQueueTime, incomplete requests are shed after
+// shedMinPartialQueued in place of shedMinPartial: the complete requests in the queue would be answered too late.
+const (
+	longQueueTime        = 100 * time.Millisecond
+	shedMinPartialQueued = 100 * time.Millisecond
+)
+
 // shedClass ranks connections by what closing them costs the client, lowest cost
 // first.
 type shedClass int
 
 const (
 	shedUnused  shedClass = iota // lingering, or silent since it was accepted
-	shedPartial                  // its request has been incomplete for at least shedMinPartial
+	shedPartial                  // its request has been incomplete for at least shedMinPartial or shedMinPartialQueued
 	shedIdle                     // between two requests
 	shedClassCount
 
-	shedNever shedClass = -1 // in use, silent or idle with unread input, or in its phase for less than the minimum time
+	shedNever shedClass = -1 // in use, with unread input, or in its phase for less than the minimum time
 )
 
 // Shed closes up to maxShedPerCall connections to free descriptors: the lowest
 // shedClass first, and within a class those that have been in their phase longest.
-func (d *Downstream) Shed() {
+// queueTime is how long clients may have been waiting in the accept queue.
+func (d *Downstream) Shed(queueTime time.Duration) {
 	now := d.now()
+	minPartial := shedMinPartial
+	if queueTime >= longQueueTime {
+		minPartial = shedMinPartialQueued
+	}
 	var candidates [shedClassCount][]*connection
 	for client := range d.connections {
-		if class := client.shedClass(now); class != shedNever {
+		if class := client.shedClass(now, minPartial); class != shedNever {
 			candidates[class] = append(candidates[class], client)
 		}
 	}
@@ -52,8 +64,9 @@
 	}
 }
 
-// shedClass returns the connection's class, or shedNever if Shed must not close it.
-func (c *connection) shedClass(now time.Duration) shedClass {
+// shedClass returns the connection's class, or shedNever if Shed must not close it. minPartial is how long a request
+// must have been incomplete.
+func (c *connection) shedClass(now, minPartial time.Duration) shedClass {
 	age := now - c.phaseStart
 	switch {
 	case c.writeClosed && age >= shedMinLingering:
@@ -62,7 +75,7 @@
 		return shedNever
 	case !c.receivedData && age >= shedMinSilent && c.socket.InputEmpty():
 		return shedUnused
-	case !c.parser.Idle() && age >= shedMinPartial:
+	case !c.parser.Idle() && age >= minPartial && c.socket.InputEmpty():
 		return shedPartial
 	case c.receivedData && c.parser.Idle() && age >= shedMinIdle && c.socket.InputEmpty():
 		return shedIdle
--- a/internal/serve/downstream/shedding_test.go
+++ b/internal/serve/downstream/shedding_test.go
@@ -1,11 +1,19 @@
 package downstream
 
 import (
+	"io"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/serve/core"
+	"piernotch/internal/serve/servetest"
 )
 
+// shed calls Shed on the loop's owning goroutine.
+func (f *fixture) shed(queueTime time.Duration) { f.Do(func() { f.downstream.Shed(queueTime) }) }
+
 // Shed must first close the connections whose loss costs clients least. It must not close connections that wait for a
 // response.
 func TestShedClosesConnectionsOfLeastUseFirst(t *testing.T) {
@@ -23,7 +31,7 @@
 	}
 	f.advance(shedMinPartial) // the longest of the minimum times
 
-	f.Do(f.downstream.Shed)
+	f.shed(0)
 	for _, client := range silent {
 		client.requireClosed()
 	}
@@ -31,7 +39,7 @@
 	idle.requireOpen()
 	require.Equal(t, 2, f.connectionCount())
 
-	f.Do(f.downstream.Shed)
+	f.shed(0)
 	idle.requireClosed()
 	pending.requireOpen()
 	require.Equal(t, 1, f.connectionCount())
@@ -44,7 +52,37 @@
 	silent, idle := f.connect(), f.connect()
 	idle.checkHealth()
 	f.advance(shedMinSilent - shortTime)
-	f.Do(f.downstream.Shed)
+	f.shed(0)
 	silent.requireOpen()
 	idle.requireOpen()
+	require.Equal(t, 2, f.connectionCount())
+}
+
+// Half requests that fill the descriptors must not keep complete ones in the accept queue until they are overdue.
+func TestIncompleteRequestsAreShedSoonerWhileClientsWait(t *testing.T) {
+	f := newFixture(t, testDescriptors)
+	partial := f.connect()
+	partial.send("GET /read")
+	f.advance(shedMinPartialQueued)
+	f.shed(longQueueTime - 1)
+	require.Equal(t, 1, f.connectionCount())
+	f.shed(longQueueTime)
+	partial.requireClosed()
+}
+
+// A request whose end has arrived but is not read yet must not be dropped.
+func TestIncompleteRequestWithUnreadEndIsNotShed(t *testing.T) {
+	f := newFixture(t, testDescriptors)
+	client := f.connect()
+	client.send("GET /read HTTP/1.1\r\nHost: b\r\n")
+	f.advance(shedMinPartial)
+	f.Do(func() {
+		_, err := io.WriteString(client.Conn, "X-Request-Id: 1\r\n\r\n")
+		require.NoError(t, err)
+		for started := time.Now(); f.inputEmpty() && time.Since(started) < servetest.Timeout; {
+			time.Sleep(time.Millisecond)
+		}
+		f.downstream.Shed(0)
+	})
+	require.IsType(t, core.RequestReceived{}, <-f.Events)
 }
--- a/internal/serve/eventloop/accept_queue.go
+++ b/internal/serve/eventloop/accept_queue.go
@@ -2,20 +2,33 @@
 
 import (
 	"net"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// acceptQueue tracks since when clients may be waiting in the kernel's accept queue of a listener. It is used by the
-// goroutine that accepts.
+// acceptQueue tracks since when clients may be waiting in the kernel's accept queue of a listener. pause and resume are
+// called by the goroutine that accepts, since by any.
 type acceptQueue struct {
-	listener     net.Listener
+	listener net.Listener
+
+	mu           sync.Mutex
 	waitingSince time.Time // zero: every client is accepted as soon as it connects
 }
 
+// since returns the earliest time at which a client that is still waiting may have connected, and zero if every client
+// is accepted as soon as it connects.
+func (q *acceptQueue) since() time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waitingSince
+}
+
 // pause records that from now on clients are left waiting.
 func (q *acceptQueue) pause() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	if q.waitingSince.IsZero() {
 		q.waitingSince = time.Now()
 	}
@@ -24,6 +37,8 @@
 // resume records, if the queue is empty, that no client is waiting any more. It must be called just before a client is
 // accepted.
 func (q *acceptQueue) resume() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	if !q.waitingSince.IsZero() && q.empty() {
 		q.waitingSince = time.Time{}
 	}
--- a/internal/serve/eventloop/listener.go
+++ b/internal/serve/eventloop/listener.go
@@ -22,7 +22,7 @@
 )
 
 // Listener accepts connections. ClientListener and AdminListener create it. Its methods must not be
-// called concurrently, except Accepting and Stop, which any goroutine may call.
+// called concurrently, except Accepting, QueueTime and Stop, which any goroutine may call.
 type Listener struct {
 	loop       *Loop
 	newHandler func(*Conn) Handler
@@ -33,6 +33,7 @@
 	mu        sync.Mutex
 	file      *os.File     // inherited socket, which other processes hold, too; nil: not inherited
 	listener  net.Listener // nil: not accepting
+	queue     *acceptQueue // of listener
 	stoppedAt time.Time    // when Stop was called, or Inherit; zero: neither was
 	address   string
 }
@@ -112,6 +113,21 @@
 	return l.listener != nil
 }
 
+// QueueTime returns for how long clients may have been waiting in the accept queue. It is 0 if every client is accepted
+// as soon as it connects, and while the listener does not accept.
+func (l *Listener) QueueTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener == nil {
+		return 0
+	}
+	since := l.queue.since()
+	if since.IsZero() {
+		return 0
+	}
+	return time.Since(since)
+}
+
 // Addr returns the address of the socket, or "" before Listen or Inherit.
 func (l *Listener) Addr() string { return l.address }
 
@@ -131,6 +147,7 @@
 	l.listener = listener
 	l.address = listener.Addr().String()
 	queue := &acceptQueue{listener: listener, waitingSince: l.stoppedAt}
+	l.queue = queue
 	l.mu.Unlock()
 	// Owned by the Listener; ends once Stop has closed the socket and open is below the limit.
 	go l.acceptAll(queue)
@@ -157,7 +174,7 @@
 			time.Sleep(acceptRetry)
 			continue
 		}
-		l.handOff(accepted, queue.waitingSince)
+		l.handOff(accepted, queue.since())
 	}
 }
 
--- a/internal/serve/runtime/balancer.go
+++ b/internal/serve/runtime/balancer.go
@@ -238,7 +238,7 @@
 		b.shedLogged = now
 		slog.Warn("descriptor limit reached", "open", b.loop.OpenConnections())
 	}
-	b.downstream.Shed()
+	b.downstream.Shed(b.listener.QueueTime())
 }
 
 // shedAll does the same as shedClients, and closes idle connections to servers as well.
--- a/internal/serve/runtime/load_shedding_test.go
+++ b/internal/serve/runtime/load_shedding_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch/internal/serve/config"
+	"piernotch/internal/serve/eventloop"
 )
 
 // More clients connect than there are descriptors. Idle connections must be closed so that every client is
@@ -56,7 +58,7 @@
 	c := connect(t, balancer)
 	time.Sleep(100 * time.Millisecond) // longer than the minimum age at which Shed closes a silent connection
 	resume := pauseLoop(balancer)
-	balancer.loop.Post(balancer.downstream.Shed)
+	balancer.loop.Post(balancer.shedClients)
 	c.send("POST /append HTTP/1.1\r\nHost: b\r\nX-Request-Id: 2\r\nContent-Length: 4\r\n\r\nmine")
 	time.Sleep(20 * time.Millisecond)
 	resume()
@@ -74,3 +76,49 @@
 	_, err := c.reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Half requests that fill the descriptors must not keep a complete request in the accept queue until half a second
+// after its deadline.
+func TestShortRequestIsAnsweredInTimeBesideHalfRequests(t *testing.T) {
+	const (
+		descriptors = 64
+		maxClients  = (descriptors - eventloop.ReservedDescriptors) * 3 / 4 // connections that the balancer accepts
+		deadline    = 200 * time.Millisecond
+	)
+	balancer, _ := startBalancerWith(t, func(cfg *config.Config) { cfg.MaxDescriptors = descriptors },
+		startIdleDiscovery(t), startNamedServer(t, "served"))
+	stopped := make(chan struct{})
+	defer close(stopped)
+	for range 3 * maxClients {
+		go sendHalfRequests(balancer.Addr(), stopped) // ends with the test
+	}
+	for range 5 {
+		time.Sleep(200 * time.Millisecond)
+		c := connect(t, balancer)
+		sent := time.Now()
+		c.send(fmt.Sprintf("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: 1\r\nX-Deadline-Ms: %d\r\n\r\n",
+			deadline.Milliseconds()))
+		head, _ := readMessage(c.reader)
+		require.NotEmpty(t, head)
+		require.Less(t, time.Since(sent), deadline+500*time.Millisecond)
+	}
+}
+
+// sendHalfRequests keeps a connection with half a request open, and opens another one whenever the balancer closes it.
+func sendHalfRequests(address string, stopped <-chan struct{}) {
+	for {
+		select {
+		case <-stopped:
+			return
+		default:
+		}
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "POST /append HTTP/1.1\r\nHost: b\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}
+}
--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -35,8 +35,8 @@
 }
 
 // canCarry reports whether the connection may carry an attempt. Within repeatWindow after an equal request it may not:
-// equal requests often get equal responses, so a second response to that request could be mistaken for the attempt's. Health checks are exempt: their
-// connections are not reused.
+// equal requests often get equal responses, so a second response to that request could be mistaken for the attempt's.
+// Health checks are exempt: their connections are not reused.
 func (c *connection) canCarry(attempt *attempt, now time.Duration) bool {
 	return attempt.healthCheck || !c.carried.hasRequest(attempt.digest, now)
 }
--- a/internal/serve/upstream/repeated_response_test.go
+++ b/internal/serve/upstream/repeated_response_test.go
@@ -134,8 +134,8 @@
 	f.serveAt("/write?k=d", "d", nil).RequireClosed()
 }
 
-// Where responses of a class are equal now and then, an equal one must not be taken for a second response, so each makes
-// the class wait for more distinct ones.
+// Where responses of a class are equal now and then, an equal one must not be taken for a second response, so each
+// makes the class wait for more distinct ones.
 func TestEachEqualResponseDoublesDistinctOnesBeforeReuse(t *testing.T) {
 	f := newFixture(t)
 	f.serveAt("/write?k=a", "same", nil).RequireClosed()
