Record golden decisions for each processor architecture

Cause: the record was made on amd64, and the test's comment said so: the last digits of estimates are those of math.Exp, math.Log and fused multiplications there. README and LAB.md promised equal results on any machine.

Change: testdata/golden_decisions has a directory for each architecture. The amd64 files are moved unchanged; the arm64 files are what writes there. The comparison is as strict as before.

It was not run on amd64.

--- a/internal/lab/simulation/golden_decisions_test.go
+++ b/internal/lab/simulation/golden_decisions_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -17,7 +18,11 @@
 )
 
 var updateGoldenDecisions = flag.Bool("update-golden-decisions", false,
-	"write testdata/golden_decisions anew instead of comparing with it")
+	"write this architecture's files of testdata/golden_decisions anew instead of comparing with them")
+
+// goldenDirectory holds the records of this architecture. The last digits of estimates differ between architectures:
+// math.Exp, math.Log and fused multiplications round differently.
+var goldenDirectory = filepath.Join("testdata", "golden_decisions", runtime.GOARCH)
 
 // goldenRun is a scenario that is run with each of goldenSeeds for the golden record.
 type goldenRun struct {
@@ -96,9 +101,8 @@
 	}},
 }
 
-// TestGoldenDecisions fails if the same events no longer lead to the same actions. The last digits of estimates
-// are those of math.Exp and math.Log on amd64 processors with FMA. After an intended change of decisions, the
-// flag -update-golden-decisions writes the files anew.
+// TestGoldenDecisions fails if the same events no longer lead to the same actions. After an intended change of
+// decisions, the flag -update-golden-decisions writes the files anew, on a machine of each architecture.
 func TestGoldenDecisions(t *testing.T) {
 	t.Parallel()
 	total := &goldenRecord{counts: map[goldenCode]int{}}
@@ -123,7 +127,7 @@
 		return // only some runs were selected, or a run has failed
 	}
 	total.requireCoverage(t)
-	files, err := filepath.Glob(filepath.Join("testdata", "golden_decisions", "*"))
+	files, err := filepath.Glob(filepath.Join(goldenDirectory, "*"))
 	require.NoError(t, err)
 	require.Len(t, files, played, "files that no run is compared with")
 }
@@ -176,7 +180,7 @@
 // compareGolden compares the text of a run with its golden file, or writes the file if the flag is set.
 func compareGolden(t *testing.T, name string, seed uint64, got string) {
 	t.Helper()
-	file := filepath.Join("testdata", "golden_decisions", fmt.Sprintf("%s-%d.txt", name, seed))
+	file := filepath.Join(goldenDirectory, fmt.Sprintf("%s-%d.txt", name, seed))
 	if *updateGoldenDecisions {
 		require.NoError(t, os.MkdirAll(filepath.Dir(file), 0o755))
 		require.NoError(t, os.WriteFile(file, []byte(got), 0o644))
