Tell requests of keyed and unsafe classes apart while a class changes

Cause: the class's old route is accepted for 3 s longer, and Downstream.route chose by method alone. Both forms are POST, and the old, keyed route came first.

Change: routes say whether their requests are keyed; of two routes with one method, the one that fits the request's Idempotency-Key is used. From unsafe to keyed, the same holds.

--- a/internal/serve/core/settings.go
+++ b/internal/serve/core/settings.go
@@ -8,10 +8,12 @@
 )
 
 // Route says which requests belong to a class: those whose path has Name as its first part, and whose
-// method is GET if Idempotent is true and POST otherwise.
+// method is GET if Idempotent is true and POST otherwise. While a class has two routes with one method,
+// Keyed says whether the requests of a route carry an idempotency key.
 type Route struct {
 	Name       string
 	Idempotent bool
+	Keyed      bool
 	Class      int           // index into the settings' classes
 	ExpiresAt  time.Duration // the route is not accepted from then on; 0: valid until the settings change
 }
@@ -28,7 +30,12 @@
 func (c *Core) Settings() piernotch.Settings { return c.settings }
 
 func newRoute(class piernotch.Class, index int) Route {
-	return Route{Name: class.Name, Idempotent: class.RetrySafety == piernotch.Idempotent, Class: index}
+	return Route{
+		Name:       class.Name,
+		Idempotent: class.RetrySafety == piernotch.Idempotent,
+		Keyed:      class.RetrySafety == piernotch.IdempotencyKey,
+		Class:      index,
+	}
 }
 
 // routesOf returns the routes of classes. The index of a class is its position.
--- a/internal/serve/downstream/request.go
+++ b/internal/serve/downstream/request.go
@@ -48,7 +48,8 @@
 	arrived time.Duration,
 ) (core.RequestReceived, *invalidRequest) {
 	className := http1.FirstSegment(message.Target)
-	class, method := d.route(className, message.Method)
+	keyed := message.Fields.Get("idempotency-key") != ""
+	class, method := d.route(className, message.Method, keyed)
 	switch {
 	case method == "":
 		return core.RequestReceived{}, &invalidRequest{status: http1.StatusNotFound, reason: "no such class"}
@@ -84,18 +85,22 @@
 // route returns the index of the named class and the method that the class takes; the
 // method is "" if there is no such class. After a change of a class's retry safety, the
 // class has two routes until the old route expires. The route for the request's method is
-// preferred.
-func (d *Downstream) route(className, method string) (class int, allowedMethod string) {
-	for _, route := range d.routes[className] {
+// preferred, and of two such routes the one for requests with or without an idempotency
+// key, as the request is. Otherwise the newer route is used.
+func (d *Downstream) route(className, method string, keyed bool) (class int, allowedMethod string) {
+	for _, route := range d.routes[className] { // the newer route comes last
 		if route.ExpiresAt > 0 && d.now() >= route.ExpiresAt {
 			continue
 		}
-		class = route.Class
-		allowedMethod = http1.MethodPost
+		routeMethod := http1.MethodPost
 		if route.Idempotent {
-			allowedMethod = http1.MethodGet
+			routeMethod = http1.MethodGet
 		}
-		if allowedMethod == method {
+		if allowedMethod == method && routeMethod != method {
+			continue
+		}
+		class, allowedMethod = route.Class, routeMethod
+		if routeMethod == method && route.Keyed == keyed {
 			break
 		}
 	}
--- a/internal/serve/downstream/request_test.go
+++ b/internal/serve/downstream/request_test.go
@@ -138,12 +138,30 @@
 func TestRoutePrefersTheRequestsMethodWhileAClassChanges(t *testing.T) {
 	d := newTestDownstream()
 	for _, method := range []string{http1.MethodGet, http1.MethodPost} {
-		class, allowed := d.route("changed", method)
+		class, allowed := d.route("changed", method, false)
 		require.Equal(t, 1, class)
 		require.Equal(t, method, allowed)
 	}
 }
 
+// While a class changes from keyed to unsafe, a request without a key must not get the class that may be repeated.
+func TestRouteFollowsTheKeyWhileAClassChanges(t *testing.T) {
+	const keyedClass, unsafeClass = 0, 1
+	d := newTestDownstream()
+	d.SetRoutes([]core.Route{
+		{Name: "stricter", Keyed: true, Class: keyedClass, ExpiresAt: 2 * time.Minute},
+		{Name: "stricter", Class: unsafeClass},
+		{Name: "looser", Class: unsafeClass, ExpiresAt: 2 * time.Minute},
+		{Name: "looser", Keyed: true, Class: keyedClass},
+	}, []time.Duration{time.Second, time.Second}, nil)
+	for _, name := range []string{"stricter", "looser"} {
+		class, _ := d.route(name, http1.MethodPost, true)
+		require.Equal(t, keyedClass, class, name)
+		class, _ = d.route(name, http1.MethodPost, false)
+		require.Equal(t, unsafeClass, class, name)
+	}
+}
+
 func TestParseDeadline(t *testing.T) {
 	const longest = math.MaxUint32 * time.Millisecond
 	for text, want := range map[string]time.Duration{
--- a/internal/serve/runtime/settings_reload_test.go
+++ b/internal/serve/runtime/settings_reload_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch"
+	"piernotch/internal/serve/config"
 )
 
 // New settings take effect at once, and pending requests keep the class under which they were received.
@@ -56,3 +60,38 @@
 	head, _ = c.request("POST", "/extra", "4", "")
 	require.Contains(t, head, " 200 ")
 }
+
+// A class becomes unsafe to repeat. Requests without a key are of its new form and must not be executed twice.
+func TestRequestWithoutKeyIsNotRepeatedOnceItsClassIsUnsafe(t *testing.T) {
+	var forwarded requestLog
+	script := func(c net.Conn, r *bufio.Reader) {
+		for head, _ := readMessage(r); head != ""; head, _ = readMessage(r) {
+			forwarded.record(head)
+			if strings.Contains(head, "/append") {
+				_, _ = io.WriteString(c, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+				continue
+			}
+			respond(c, "served")
+		}
+	}
+	balancer, _ := startBalancerWith(t, func(cfg *config.Config) {
+		cfg.Settings.Classes[1].RetrySafety = piernotch.IdempotencyKey
+		cfg.Settings.Classes[1].DedupWindow = time.Minute
+	}, startIdleDiscovery(t), startPeer(t, script), startPeer(t, script))
+	c := connect(t, balancer)
+	for i := range 20 { // the retry budget grows with requests
+		_, _ = c.request("GET", "/read", fmt.Sprint("warm-", i), "")
+	}
+	_, _ = c.request("POST", "/append", "keyed", "")
+	require.Greater(t, forwarded.count("keyed"), 1)
+	cfg := balancer.cfg
+	cfg.Settings.Classes = slices.Clone(cfg.Settings.Classes)
+	cfg.Settings.Classes[1].RetrySafety = piernotch.NonIdempotent
+	balancer.Reload(cfg)
+	reloaded := make(chan struct{})
+	balancer.loop.Post(func() { close(reloaded) })
+	<-reloaded
+	head, _ := c.request("POST", "/append", "unsafe", "")
+	require.Contains(t, head, " 502 ")
+	require.Equal(t, 1, forwarded.count("unsafe"))
+}
