Take no file at SIGHUP whose keyed classes lack a key

Cause: each new class needed only the keys that all old classes had, so one of keyed classes alone was not missed, and null passed for it. A missing dedup_scope read as "all", the widest scope.

Change: a class needs the keys of the old classes with its effect; the first keyed class needs dedup_scope and dedup_window_ms. A start takes a missing scope of a keyed class as a cell, the narrowest.

--- a/internal/serve/config/reload_test.go
+++ b/internal/serve/config/reload_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"piernotch"
 )
 
 // A reload must reject a file that is incomplete: a missing key would read as zero.
@@ -42,3 +44,46 @@
 	require.NoError(t, err)
 	require.Equal(t, "other", next.Settings.Classes[0].Name)
 }
+
+// A keyed class without its scope would be repeated where servers do not know its keys.
+func TestReloadedKeyedClassMustBeComplete(t *testing.T) {
+	const scope, window = `, "dedup_scope": "zone"`, `, "dedup_window_ms": 6000`
+	data, err := os.ReadFile("../../../deploy/example.json")
+	require.NoError(t, err)
+	unkeyed := string(data)
+	keyed := strings.Replace(unkeyed, `"effect": "unsafe"`, `"effect": "keyed"`+scope+window, 1)
+	name := filepath.Join(t.TempDir(), "config.json")
+	env := func(key string) string { return map[string]string{"ROUTER_CONFIG": name}[key] }
+	write := func(text string) { require.NoError(t, os.WriteFile(name, []byte(text), 0o600)) }
+	for _, started := range []string{keyed, unkeyed} { // the first keyed class may come with the new file
+		write(started)
+		cfg, err := Load(env)
+		require.NoError(t, err)
+		write(strings.Replace(keyed, scope, "", 1))
+		_, err = cfg.Reload(env)
+		require.ErrorContains(t, err, "settings.classes[1].dedup_scope: missing")
+		write(strings.Replace(keyed, window, "", 1))
+		_, err = cfg.Reload(env)
+		require.ErrorContains(t, err, "settings.classes[1].dedup_window_ms: missing")
+		write(strings.Replace(keyed, window, `, "dedup_window_ms": null`, 1))
+		_, err = cfg.Reload(env)
+		require.ErrorContains(t, err, "settings.classes[1].dedup_window_ms: ")
+		for _, complete := range []string{keyed, unkeyed} {
+			write(complete)
+			_, err = cfg.Reload(env)
+			require.NoError(t, err)
+		}
+	}
+}
+
+// The start accepts such a file, with the scope in which a repeat does no harm.
+func TestKeyedClassWithoutScopeIsRepeatedInItsCellOnly(t *testing.T) {
+	data, err := os.ReadFile("../../../deploy/example.json")
+	require.NoError(t, err)
+	name := filepath.Join(t.TempDir(), "config.json")
+	keyed := strings.Replace(string(data), `"effect": "unsafe"`, `"effect": "keyed", "dedup_window_ms": 6000`, 1)
+	require.NoError(t, os.WriteFile(name, []byte(keyed), 0o600))
+	cfg, err := Load(func(key string) string { return map[string]string{"ROUTER_CONFIG": name}[key] })
+	require.NoError(t, err)
+	require.Equal(t, piernotch.DedupInCell, cfg.Settings.Classes[1].DedupScope)
+}
--- a/internal/serve/config/required_keys.go
+++ b/internal/serve/config/required_keys.go
@@ -12,7 +12,7 @@
 // returns a *FieldError for the first key of current that next lacks or has with another type. A
 // missing key would otherwise read as zero, which is a valid value of many settings. The elements of a
 // list may change, but each object in the new list needs the keys that all objects in the old list
-// have.
+// have. A class needs the keys that all old classes with its effect have.
 func checkRequiredKeys(current, next []byte) error {
 	var currentValue, nextValue any
 	if err := json.Unmarshal(current, &currentValue); err != nil {
@@ -70,15 +70,39 @@
 	if !ok {
 		return &FieldError{Key: key, Err: errors.New("a list is expected")}
 	}
-	common := commonMembers(current)
 	for i, value := range nextList {
-		if err := checkValue(common, value, fmt.Sprintf("%s[%d]", key, i)); err != nil {
+		if err := checkValue(requiredMembers(value, current), value, fmt.Sprintf("%s[%d]", key, i)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// keyedClassKeys are the keys that a keyed class needs in addition to those of all classes.
+var keyedClassKeys = map[string]any{"dedup_scope": "", "dedup_window_ms": 0.0}
+
+// requiredMembers returns the members that a value in the new list needs, as an object with those of the old list.
+// Some keys belong to the classes of one effect only, so a class is compared with the old classes that have its effect.
+func requiredMembers(value any, list []any) any {
+	class, _ := value.(map[string]any)
+	effect, isClass := class["effect"]
+	if !isClass {
+		return commonMembers(list)
+	}
+	otherEffect := func(other any) bool {
+		otherClass, _ := other.(map[string]any)
+		return otherClass["effect"] != effect
+	}
+	if same := slices.DeleteFunc(slices.Clone(list), otherEffect); len(same) > 0 {
+		return commonMembers(same)
+	}
+	required := commonMembers(list)
+	if object, ok := required.(map[string]any); ok && effect == "keyed" {
+		maps.Copy(object, keyedClassKeys)
+	}
+	return required
+}
+
 // commonMembers reduces the first object of a list to the members that all objects have, and returns
 // it. It returns nil if the list is empty or has an element that is not an object.
 func commonMembers(list []any) any {
@@ -89,7 +113,7 @@
 			return nil
 		}
 		if i == 0 {
-			common = object
+			common = maps.Clone(object)
 			continue
 		}
 		for name := range common {
--- a/internal/simprotocol/settings.go
+++ b/internal/simprotocol/settings.go
@@ -142,6 +142,9 @@
 	if !ok {
 		return piernotch.Class{}, &SettingsError{fmt.Errorf("classes[%d].dedup_scope is %q", i, c.DedupScope)}
 	}
+	if safety == piernotch.IdempotencyKey && c.DedupScope == "" {
+		scope = piernotch.DedupInCell // the narrowest one: servers outside the scope might execute a repeat
+	}
 	return piernotch.Class{
 		Name:             c.Name,
 		LatencyObjective: Duration(c.LatencyObjectiveMS),
