Take no error of a lock or directory for the end of a sibling process

Cause: isLocked counted any error of flock but EWOULDBLOCK as "not locked", Peers passed over a process whose lock file did not open for any reason, and poll took a directory that cannot be read for one without processes.

Change: only a free lock or a missing file is an end; EINTR is tried again, other errors count as alive and are logged. After an error of the directory what was known stays in force.

Faults between real processes were not played.

--- a/internal/serve/handover/directory.go
+++ b/internal/serve/handover/directory.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -94,7 +95,7 @@
 }
 
 // Peers returns the other processes of the balancer. A process that has ended is returned once, with
-// its last record, and its files are removed.
+// its last record, and its files are removed. A process whose lock cannot be tested counts as alive.
 func (d *Directory) Peers() ([]Peer, error) {
 	entries, err := os.ReadDir(d.path)
 	if err != nil {
@@ -107,9 +108,13 @@
 			continue
 		}
 		alive, err := isLocked(d.file(stem, lockSuffix))
-		if err != nil {
+		if errors.Is(err, os.ErrNotExist) {
 			continue // another process has removed the file
 		}
+		if err != nil { // no proof that the process has ended
+			slog.Warn("lock of sibling process unreadable", "file", stem, "err", err)
+			alive = true
+		}
 		// The lock is tested before the record is read. Otherwise a process could write its last record
 		// and end in between, and that record would be lost.
 		cached := d.read(stem)
--- a/internal/serve/handover/directory_test.go
+++ b/internal/serve/handover/directory_test.go
@@ -61,3 +61,27 @@
 	require.NoError(t, err)
 	require.Len(t, files, 2, "the locks of the two live processes: %v", files)
 }
+
+// An error when the lock of a process is tested must not make it count as ended: both would then serve as if alone.
+func TestProcessWithUnreadableLockCountsAsAlive(t *testing.T) {
+	path := t.TempDir()
+	previous, err := Enter(path, "n1")
+	require.NoError(t, err)
+	require.NoError(t, previous.Write(Record{ProcessState: ProcessState{1, 10, Ready, 0}}))
+	next, err := Enter(path, "n1")
+	require.NoError(t, err)
+	lock := previous.file(previous.ownStem, lockSuffix)
+	require.NoError(t, os.Rename(lock, lock+"-moved"))
+	require.NoError(t, os.Symlink(lock, lock)) // opening it fails with ELOOP
+	for range 2 {
+		peers, err := next.Peers()
+		require.NoError(t, err)
+		require.Len(t, peers, 1)
+		require.True(t, peers[0].Alive)
+		require.Equal(t, Ready, peers[0].Phase)
+	}
+	require.NoError(t, os.Remove(lock))
+	peers, err := next.Peers()
+	require.NoError(t, err)
+	require.Empty(t, peers, "its lock file is gone")
+}
--- a/internal/serve/handover/lock.go
+++ b/internal/serve/handover/lock.go
@@ -26,14 +26,23 @@
 	return file, nil
 }
 
-// isLocked reports whether a live process holds the lock on the file at path. It returns an error if
-// the file cannot be opened, usually because the file is gone.
+// isLocked reports whether a live process holds the lock on the file at path. The error matches os.ErrNotExist if the
+// file is gone. Any other error leaves open whether the process is alive.
 func isLocked(path string) (bool, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return false, err
 	}
 	defer func() { _ = file.Close() }()
-	err = syscall.Flock(int(file.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
-	return errors.Is(err, syscall.EWOULDBLOCK), nil
+	for {
+		err = syscall.Flock(int(file.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
+		switch {
+		case err == nil:
+			return false, nil
+		case errors.Is(err, syscall.EWOULDBLOCK):
+			return true, nil
+		case !errors.Is(err, syscall.EINTR):
+			return false, &os.PathError{Op: "flock", Path: path, Err: err}
+		}
+	}
 }
--- a/internal/serve/runtime/handover.go
+++ b/internal/serve/runtime/handover.go
@@ -79,7 +79,7 @@
 // tickSiblings reads the siblings' records and adapts to them, and writes this process's record, each at
 // its interval.
 func (b *Balancer) tickSiblings(now time.Duration) {
-	if peers, due := b.siblings.poll(now); due {
+	if peers, updated := b.siblings.poll(now); updated {
 		b.mergePeers(peers)
 		b.updateAccepting()
 		b.applyResourceLimits()
--- a/internal/serve/runtime/sibling_processes.go
+++ b/internal/serve/runtime/sibling_processes.go
@@ -46,30 +46,31 @@
 		return siblings, nil, err
 	}
 	siblings.directory = directory
-	peers := siblings.read()
+	peers, _ := siblings.read() // the next poll finds siblings that could not be read
 	for i := range peers {
 		siblings.self.Epoch = max(siblings.self.Epoch, peers[i].Epoch+1)
 	}
 	return siblings, peers, nil
 }
 
-// read returns the siblings' records, or none (and logs the error) if the directory cannot be read.
-func (s *siblingProcesses) read() []handover.Peer {
+// read returns the siblings' records. It logs the error and returns false if the directory cannot be read.
+func (s *siblingProcesses) read() (peers []handover.Peer, valid bool) {
 	peers, err := s.directory.Peers()
 	if err != nil {
 		slog.Warn("sibling processes unreadable", "err", err)
 	}
-	return peers
+	return peers, err == nil
 }
 
 // poll reads the siblings' records if there is a directory and siblingPollInterval has passed since the
-// last poll. due reports whether poll tried to read them.
-func (s *siblingProcesses) poll(now time.Duration) (peers []handover.Peer, due bool) {
+// last poll. updated reports whether poll has read them. If the directory cannot be read, what was known of
+// the siblings stays in force.
+func (s *siblingProcesses) poll(now time.Duration) (peers []handover.Peer, updated bool) {
 	if s.directory == nil || now-s.polled < siblingPollInterval {
 		return nil, false
 	}
 	s.polled = now
-	return s.read(), true
+	return s.read()
 }
 
 // update stores the states of the live siblings. It logs when the first appears or the last is gone.
