Build a balancer's further settings from a realization in one place

Change: simulation.ExtraSettings serves both; each sets WeightBy and Columns. Behaviour is unchanged.

--- a/internal/lab/loadtest/balancer.go
+++ b/internal/lab/loadtest/balancer.go
@@ -16,6 +16,7 @@
 
 	"piernotch/internal/lab/faultproxy"
 	"piernotch/internal/lab/scenario"
+	"piernotch/internal/lab/simulation"
 	"piernotch/internal/simprotocol"
 )
 
@@ -97,19 +98,10 @@
 ) error {
 	balancerSettings := realization.Settings
 	balancerSettings.Zone = b.zone
-	rules := &realization.Rules
-	settings, err := simprotocol.MarshalSettings(&balancerSettings, simprotocol.ExtraSettings{
-		Balancer:         simprotocol.BalancerNumber(b.number),
-		KeepAliveMS:      simprotocol.Milliseconds(rules.KeepAlive),
-		DialMS:           simprotocol.Milliseconds(rules.DialTimeout),
-		SlackMS:          simprotocol.Milliseconds(rules.ResponseSlack),
-		GraceMS:          simprotocol.Milliseconds(rules.DrainGrace),
-		CollapseMultiple: rules.Collapse.Multiple,
-		CollapseWindowMS: simprotocol.Milliseconds(rules.Collapse.For),
-		ServerKinds:      realization.KindNames(),
-		Columns:          []string{"eps", "qps", "inflight"},
-		WeightBy:         "work",
-	})
+	extra := simulation.ExtraSettings(realization, simprotocol.BalancerNumber(b.number))
+	extra.Columns = []string{"eps", "qps", "inflight"}
+	extra.WeightBy = "work"
+	settings, err := simprotocol.MarshalSettings(&balancerSettings, extra)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/simulation/child_frames.go
+++ b/internal/lab/simulation/child_frames.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"piernotch"
+	"piernotch/internal/lab/scenario"
 	"piernotch/internal/simprotocol"
 )
 
@@ -79,23 +80,32 @@
 
 // extraSettings returns the part of a start event that is not in the module's settings.
 func (c *Child) extraSettings(balancer simprotocol.BalancerNumber) simprotocol.ExtraSettings {
-	rules := &c.realization.Rules
-	extra := simprotocol.ExtraSettings{
+	extra := ExtraSettings(c.realization, balancer)
+	extra.Columns = loadColumns
+	extra.WeightBy = "request"
+	if c.realization.Score.ByWork {
+		extra.WeightBy = "work"
+	}
+	return extra
+}
+
+// ExtraSettings returns the settings of a realization's balancer that are not in the module's settings. WeightBy and
+// Columns are left empty.
+func ExtraSettings(
+	realization *scenario.Realization,
+	balancer simprotocol.BalancerNumber,
+) simprotocol.ExtraSettings {
+	rules := &realization.Rules
+	return simprotocol.ExtraSettings{
 		Balancer:         balancer,
+		ServerKinds:      realization.KindNames(),
 		KeepAliveMS:      simprotocol.Milliseconds(rules.KeepAlive),
 		DialMS:           simprotocol.Milliseconds(rules.DialTimeout),
 		SlackMS:          simprotocol.Milliseconds(rules.ResponseSlack),
 		GraceMS:          simprotocol.Milliseconds(rules.DrainGrace),
 		CollapseMultiple: rules.Collapse.Multiple,
 		CollapseWindowMS: simprotocol.Milliseconds(rules.Collapse.For),
-		WeightBy:         "request",
-		Columns:          loadColumns,
-		ServerKinds:      c.realization.KindNames(),
 	}
-	if c.realization.Score.ByWork {
-		extra.WeightBy = "work"
-	}
-	return extra
 }
 
 func requestFlags(event *Event) uint8 {
