Count no process that another fault stops in its start as failed

Cause: the load test, not the balancer. Its schedule ends one restart of balancer 0 at 11.89 s and kills balancer 0 at 11.90 s; the first step still waited for the new process to be ready and took its end for a failed start.

Change: the end of a process that was told to end or killed meanwhile is errStoppedInStart; the fault that stopped it launches the next one. A process that ends by itself fails as before (TestBalancerStartFailureReportsLastLogLines).

--- a/internal/lab/loadtest/balancer.go
+++ b/internal/lab/loadtest/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -162,10 +163,13 @@
 }
 
 // isStopping reports whether the current process was told to end or killed.
-func (b *balancer) isStopping() bool {
+func (b *balancer) isStopping() bool { return b.wasStopped(b.current()) }
+
+// wasStopped reports whether a process was told to end or killed.
+func (b *balancer) wasStopped(stopped *process) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.process.stopping
+	return stopped.stopping
 }
 
 // routing says whether clients use a balancer, and on which connections.
@@ -254,6 +258,9 @@
 	close(started.exited)
 }
 
+// errStoppedInStart means that a process was told to end or killed, by another fault of the test, before it was ready.
+var errStoppedInStart = errors.New("was stopped before it was ready")
+
 // start starts a process, makes it the current one, and waits until the balancer's health check succeeds. It fails
 // after startPolls checks, on the process's exit, or when the context is done.
 func (b *balancer) start(ctx context.Context) error {
@@ -270,6 +277,9 @@
 		}
 		select {
 		case <-started.exited:
+			if b.wasStopped(started) {
+				return errStoppedInStart
+			}
 			return b.error("", ErrBalancerNotStarted)
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/lab/loadtest/environment.go
+++ b/internal/lab/loadtest/environment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -142,13 +143,17 @@
 }
 
 // launch configures a balancer, tells the observer of its restart, starts a process, and routes clients to the balancer
-// once the process is ready.
+// once the process is ready. If another fault stops the process before, that fault launches the next one.
 func (e *environment) launch(ctx context.Context, target *balancer) error {
 	if err := e.configure(target); err != nil {
 		return err
 	}
 	e.observer.BalancerRestarted(target.number)
-	if err := target.start(ctx); err != nil {
+	err := target.start(ctx)
+	if errors.Is(err, errStoppedInStart) {
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	target.route(routed)
