Send no heartbeats for a list that is too large to be published

Cause: appendLocked took only a version gap for a reason to empty the holder's log. On ErrTooLarge the log kept the version before, its heartbeats went on, and they kept the followers from polling.

The holder does not ask for the complete list over and over: oversizedSource holds until the next change.

--- a/internal/controlgroup/client/shared_watch.go
+++ b/internal/controlgroup/client/shared_watch.go
@@ -27,6 +27,7 @@
 	publishedToken   lease.Token // the token of the last publication; 0: the whole log must be published again
 	publishedVersion uint64      // the last version of log that was published
 	currentSource    string      // the name of the discovery that this balancer uses now
+	oversizedSource  string      // the discovery whose list is too large to be published; "": none
 	knownSource      string      // the source of knownVersion
 	knownVersion     uint64      // the last version that this balancer is known to have
 	independent      bool        // whether this balancer polls without holding the duty, as of the last log line
@@ -121,21 +122,30 @@
 		slog.Info("group: polling discovery", "independent", independent, "duty", w.duty)
 	}
 	logSource, _, hasEvents := w.log.Version()
-	// The published events must begin with a complete list of the current discovery.
+	// The published events must begin with a complete list of the current discovery, if that can be published.
 	needsCompleteList := !hasEvents || logSource != w.currentSource
-	return poll, held && needsCompleteList
+	return poll, held && needsCompleteList && w.oversizedSource != w.currentSource
 }
 
+// appendLocked adds the result of an own poll to the log, and publishes it if this balancer holds the duty. Without the
+// complete list in the log there are no heartbeats either, so that the other members poll themselves.
 func (w *sharedWatch) appendLocked(event controlgroup.WatchEvent) {
 	event.Source = w.commonName(event.Source)
 	w.knownSource = event.Source
 	w.knownVersion = event.ToVersion
+	w.oversizedSource = ""
 	w.holder.PollSucceeded(w.client.now())
-	if err := w.log.Append(0, event); errors.Is(err, watch.ErrVersionGap) {
+	err := w.log.Append(0, event)
+	switch {
+	case errors.Is(err, watch.ErrVersionGap):
 		w.log = watch.EventLog{} // the holder's next poll must then request a complete list
-		return
+	case errors.Is(err, watch.ErrTooLarge):
+		slog.Warn("group: list too large to be published, each member polls", "bytes", len(event.Body))
+		w.log = watch.EventLog{}
+		w.oversizedSource = event.Source
+	default:
+		w.publishLocked()
 	}
-	w.publishLocked()
 }
 
 func (w *sharedWatch) requestUpdateLocked(source string, version uint64) {
