Count no rejections as equal responses of their class

Callers could see: where servers reject or fail requests, whose responses are equal, connections of the class were used once until 4, and since up to 512, further responses had been distinct: more dials just when servers are full.

Cause: responseParsed recorded every response in the history of its class. Behind rejections and errors no connection is reused anyway, so they say nothing about reuse.

Change: only responses of 200 are recorded.

Result: TestEqualRejectionsDoNotEndReuseInTheirClass failed before (the connection was closed); the package's tests passed three runs with the race detector.

--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -98,7 +98,9 @@
 		c.fail(Malformed, errRepeatedResponse)
 	default:
 		c.carried.add(digests, now)
-		distinct := c.pool.upstream.history.add(http1.FirstSegment(c.attempt.request.Target), digests)
+		// Rejections and errors are often equal, but no connection is reused behind them.
+		distinct := response.Status == http1.StatusOK &&
+			c.pool.upstream.history.add(http1.FirstSegment(c.attempt.request.Target), digests)
 		c.responseReceived(response, distinct)
 	}
 }
--- a/internal/serve/upstream/repeated_response_test.go
+++ b/internal/serve/upstream/repeated_response_test.go
@@ -148,6 +148,22 @@
 	f.serveAt("/write?k=d", "d", connection)
 }
 
+// Rejections are equal, and must not end the reuse of connections behind other responses of the class.
+func TestEqualRejectionsDoNotEndReuseInTheirClass(t *testing.T) {
+	f := newFixture(t)
+	for i := range 3 {
+		ref := f.startAttemptAt(fmt.Sprintf("/read?k=%d", i), time.Hour)
+		connection := f.accept()
+		connection.RequestHead()
+		connection.Send("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		require.Equal(t, core.AttemptCompleted{Ref: ref, Status: piernotch.Full}, <-f.Events)
+		connection.RequireClosed()
+	}
+	connection := f.serveAt("/read?k=a", "a", nil)
+	f.advance(settleTime)
+	f.serveAt("/read?k=b", "b", connection)
+}
+
 // An equal request that comes long after the first one must not get the second response to that one either.
 func TestEqualRequestIsNotCarriedUntilRepeatWindowIsOver(t *testing.T) {
 	f := newFixture(t)
