Try ejected servers again soon when all servers are ejected

Cause: three failures in a row eject a server for a pause of seconds that is meant to spare requests from it while others serve. With all servers ejected there is nothing to spare them from, and the failure of all at once is more likely one of the network or of this machine.

Change: while all servers that the endpoint list allows are ejected, the pauses are limited so that each server gets a trial every 0.1 s from all balancers together. The number of balancers lengthens a balancer's own interval: returning servers may be cold. With any server not ejected, nothing changes.

--- a/groups.go
+++ b/groups.go
@@ -38,6 +38,9 @@
 	for i := range b.groups {
 		b.groups[i].members = b.groups[i].members[:0]
 	}
+	if b.allEjected() {
+		b.limitPauses()
+	}
 	options := b.outlierOptions()
 	for _, target := range b.endpoints.sorted {
 		if target.available() && target.outlier.Eligible(now, options) {
--- a/internal/decision/outlier/outlier.go
+++ b/internal/decision/outlier/outlier.go
@@ -7,6 +7,8 @@
 //     resets the count, since a healthy server fails now and then, too.
 //   - An ejection lasts for a pause that doubles with each consecutive ejection and has jitter, so that the
 //     balancers do not all return to the server at the same moment.
+//   - While all servers are ejected, the caller limits the pauses (LimitMeanPause): all servers failing at
+//     once is more likely a failure of the network, and no better server is left for the requests.
 //   - After the pause, and after a passed health check where checks are enabled, one request is sent as a
 //     trial. Its failure ejects the server again at once; a good response ends the ejection. Only one trial
 //     is in flight, so that a server that still hangs costs one request and not a burst of them.
@@ -112,6 +114,7 @@
 	consecutiveFailures int           // since the last good response or ejection
 	connectFailures     int           // since the last good response
 	ejections           int           // consecutive ejections; 0: the server is not ejected
+	ejectedAt           time.Duration // when the last ejection began
 	trialAt             time.Duration // end of the pause of the last ejection
 	trialInflight       bool
 	healthCheckInflight bool
@@ -162,8 +165,22 @@
 	m.ejections++
 	m.consecutiveFailures = 0
 	m.healthCheckPassed = false
-	pause := basePause << min(m.ejections, maxPauseDoublings)
-	m.trialAt = now + pause/2 + estimate.Jitter(rng, pause)
+	m.ejectedAt = now
+	m.setPause(basePause<<min(m.ejections, maxPauseDoublings), rng)
+}
+
+// LimitMeanPause shortens the pause of the last ejection if it is longer than a pause with this mean can be.
+// It then takes one draw from rng.
+func (m *Monitor) LimitMeanPause(mean time.Duration, rng *rand.Rand) {
+	longest := mean + mean/2
+	if m.ejections > 0 && m.trialAt-m.ejectedAt > longest {
+		m.setPause(mean, rng)
+	}
+}
+
+// setPause draws the pause of the last ejection, which lasts from 0.5 to 1.5 times the mean.
+func (m *Monitor) setPause(mean time.Duration, rng *rand.Rand) {
+	m.trialAt = m.ejectedAt + mean/2 + estimate.Jitter(rng, mean)
 }
 
 // Eligible reports whether the server may be a member of its group: it is not ejected, or its trial is due.
--- a/outlier_ejection.go
+++ b/outlier_ejection.go
@@ -6,6 +6,9 @@
 	"piernotch/internal/decision/outlier"
 )
 
+// trialInterval is the mean time between two trials of a server while all servers are ejected.
+const trialInterval = 100 * time.Millisecond
+
 // recordFailure counts a failed attempt, and ejects the server after too many failures in a row or a failed
 // trial.
 func (b *Balancer) recordFailure(now time.Duration, target *server, failure outlier.Failure) {
@@ -41,6 +44,32 @@
 	b.groupsStale = true
 }
 
+// allEjected reports whether there are servers that may get requests by the endpoint list, and all of them
+// are ejected.
+func (b *Balancer) allEjected() bool {
+	ejected := false
+	for _, target := range b.endpoints.sorted {
+		if !target.available() {
+			continue
+		}
+		if !target.outlier.Ejected() {
+			return false
+		}
+		ejected = true
+	}
+	return ejected
+}
+
+// limitPauses shortens the pauses of all ejected servers, so that all balancers together send a server one
+// trial in each trialInterval. Otherwise every request would be rejected for seconds after all servers have
+// failed at once, as in a short failure of the network.
+func (b *Balancer) limitPauses() {
+	mean := trialInterval * time.Duration(max(b.settings.BalancerCount, 1))
+	for _, target := range b.endpoints.sorted {
+		target.outlier.LimitMeanPause(mean, b.rng)
+	}
+}
+
 func (b *Balancer) outlierOptions() outlier.Options {
 	return outlier.Options{HealthChecks: b.settings.Limits.HealthChecks}
 }
--- a/outlier_ejection_test.go
+++ b/outlier_ejection_test.go
@@ -135,3 +135,54 @@
 	require.Less(t, b.latency.PerWork(), 3.0, "a rejection counted as a slow response")
 	require.Empty(t, h.rejected)
 }
+
+// Regression: a failure of all servers that lasted some milliseconds ejected them all, and every request was
+// rejected for the whole pause, although the servers had recovered.
+func TestServersReturnSoonAfterAllWereEjected(t *testing.T) {
+	for name, test := range map[string]struct {
+		balancers int
+		within    time.Duration
+	}{
+		"one balancer":     {1, 2 * trialInterval},
+		"twelve balancers": {12, 2 * 12 * trialInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testSettings()
+			s.BalancerCount = test.balancers
+			b, h := newTestBalancer(t, s, testEndpoints(3, 1))
+			now := time.Second
+			for _, failing := range b.endpoints.sorted {
+				b.eject(now, failing)
+			}
+			b.Timer(now, tickToken)
+			for _, failing := range b.endpoints.sorted {
+				require.GreaterOrEqual(t, failing.outlier.PauseEnd(), now+test.within/4)
+			}
+
+			now += test.within
+			b.Timer(now, tickToken)
+			request := newTestRequest(1, nonIdempotentClass, 10)
+			request.Deadline = now + time.Second
+			b.HandleRequest(now, request)
+			require.Len(t, h.attempts, 1)
+			completeAttempt(b, now, 1, 0, h.last().to, OK)
+			require.False(t, b.endpoints.find(h.last().to).outlier.Ejected())
+		})
+	}
+}
+
+// While another server can get requests, an ejected one keeps its pause.
+func TestPauseIsKeptWhileAnotherServerIsNotEjected(t *testing.T) {
+	b, _ := newTestBalancer(t, testSettings(), testEndpoints(3, 1))
+	first, second := b.endpoints.sorted[0], b.endpoints.sorted[1]
+	b.eject(time.Second, first)
+	b.eject(time.Second, second)
+	before := first.outlier.PauseEnd()
+	b.rebuildGroups(time.Second)
+	require.Equal(t, before, first.outlier.PauseEnd())
+
+	b.eject(time.Second, b.endpoints.sorted[2])
+	b.rebuildGroups(time.Second)
+	require.Less(t, first.outlier.PauseEnd(), before)
+	require.Less(t, second.outlier.PauseEnd(), time.Second+2*trialInterval)
+}
