Count no shortage on this machine as a failure of the server

Reaching the own limit of descriptors counts the same way.

Cause: every failure before the request's last byte was sent was reported to the module as ConnectFailed. Three of them ejected each server, and two made it return in slow start, as if its process had been replaced.

Change: an error of a dial or write that shows a shortage of this machine (descriptors, buffers, memory, local ports) is reported as NotSent: the request was not executed, and nothing is known about the server.

Result: the new test fails without the change ("connect_failed" for "not_sent").

--- a/internal/lab/loadtest/syscallfault_test.go
+++ b/internal/lab/loadtest/syscallfault_test.go
@@ -39,6 +39,8 @@
 	for name, faults := range map[string][]syscallfault.Fault{
 		"accept": failInTurn(syscallfault.Accept, syscallfault.AnySide, 1, syscall.EINTR, syscall.ECONNABORTED,
 			syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EHOSTUNREACH),
+		"socket": failInTurn(syscallfault.Socket, syscallfault.AnySide, 1, syscall.EMFILE, syscall.ENFILE,
+			syscall.ENOBUFS, syscall.ENOMEM),
 		"connect": failInTurn(syscallfault.Connect, syscallfault.AnySide, 0.3, syscall.EINTR, syscall.EADDRNOTAVAIL,
 			syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ETIMEDOUT, syscall.ECONNREFUSED, syscall.ENOBUFS),
 		"setsockopt": failInTurn(syscallfault.SetSocketOption, syscallfault.AnySide, 1, syscall.ENOBUFS,
--- a/internal/serve/eventloop/errors.go
+++ b/internal/serve/eventloop/errors.go
@@ -1,6 +1,10 @@
 package eventloop
 
-import "errors"
+import (
+	"errors"
+	"slices"
+	"syscall"
+)
 
 // ErrDescriptorsExhausted is the error of a dial that would exceed the descriptor limit.
 var ErrDescriptorsExhausted = errors.New("descriptor limit reached")
@@ -13,3 +17,14 @@
 	// has seen its end.
 	errBroken = errors.New("connection broken")
 )
+
+// localErrors are errors of dials and writes that report a shortage on this machine.
+var localErrors = []error{
+	ErrDescriptorsExhausted, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+}
+
+// IsLocal reports whether an error of a dial or write shows a shortage on this machine, such as of descriptors or
+// memory. It says nothing about the peer.
+func IsLocal(err error) bool {
+	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
+}
--- a/internal/serve/upstream/errors.go
+++ b/internal/serve/upstream/errors.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"piernotch"
+	"piernotch/internal/serve/eventloop"
 )
 
 // Causes of an AttemptError that are detected here, not by the event loop or the parser.
@@ -55,6 +56,8 @@
 // Status classifies the failure for the core and the decision module.
 func (e *AttemptError) Status() piernotch.Status {
 	switch {
+	case e.Stage < AwaitingResponse && eventloop.IsLocal(e.Err): // says nothing about the server
+		return piernotch.NotSent
 	case e.Stage < AwaitingResponse:
 		return piernotch.ConnectFailed
 	case e.Stage == Malformed: // the connection was up, so unlike a reset this is no sign of a restarted server
