Keep connections open while reads fail for lack of memory

Cause: Loop.read closes a connection on every error but EINTR and EAGAIN. Where the kernel lacks memory for a call, the connection is intact and its data still waits.

Change: after such an error the poller pauses for 1 ms and goes on. It is level-triggered, so it reports the connection as readable again.

--- a/internal/serve/eventloop/errors.go
+++ b/internal/serve/eventloop/errors.go
@@ -28,3 +28,8 @@
 func IsLocal(err error) bool {
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
+
+// isShortage reports whether a read failed for lack of memory. The connection and its data are still there.
+func isShortage(err error) bool {
+	return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS)
+}
--- a/internal/serve/eventloop/poller.go
+++ b/internal/serve/eventloop/poller.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
@@ -16,6 +17,8 @@
 	// maxClientReads is the maximum number of reads from a client's connection before other
 	// connections get their turn.
 	maxClientReads = 4
+	// shortageRetry is the delay before the poller goes on after a read that failed for lack of memory.
+	shortageRetry = time.Millisecond
 )
 
 // register passes a connection to the poller. It must be called on the owning goroutine, after the
@@ -59,6 +62,9 @@
 			continue
 		case errors.Is(err, syscall.EAGAIN):
 			return
+		case isShortage(err): // the poller reports the connection as readable again
+			time.Sleep(shortageRetry)
+			return
 		case err == nil && size == 0:
 			err = errPeerClosed
 		}
