Keep an accepted client while no second descriptor is to be had

Cause: nbio takes a connection over by duplicating its descriptor. When that failed, the accepted connection was closed, together with a request that the client may have sent.

Change: the takeover is a step of its own, before the connection gets its handler, and is tried again every 20 ms for up to 1 s. A request that waited there is given its time from the accept on. A dialed connection that cannot be taken over fails its attempt as not sent.

--- a/internal/serve/eventloop/dial.go
+++ b/internal/serve/eventloop/dial.go
@@ -54,8 +54,14 @@
 		}
 		connection := &Conn{openCount: &l.open, dialed: true}
 		l.Post(func() { // the handler is set on the owning goroutine before any byte is read
+			if err := connection.takeOver(dialed); err != nil {
+				_ = dialed.Close()
+				connection.release()
+				done(nil, err)
+				return
+			}
 			connection.handler = newHandler(connection)
-			if err := l.register(dialed, connection); err != nil {
+			if err := l.register(connection); err != nil {
 				connection.closed = true
 				done(nil, err)
 				return
--- a/internal/serve/eventloop/listener.go
+++ b/internal/serve/eventloop/listener.go
@@ -17,8 +17,10 @@
 	// clientShareQuarters is the part of the descriptor limit, in quarters, up to which clients are
 	// accepted. The rest is kept for connections to servers.
 	clientShareQuarters = 3
-	// acceptRetry is the delay before a failed accept is retried.
+	// acceptRetry is the delay before a failed accept or takeover is retried.
 	acceptRetry = 20 * time.Millisecond
+	// maxTakeoverTime is how long an accepted connection may wait for its second descriptor.
+	maxTakeoverTime = time.Second
 )
 
 // Listener accepts connections. ClientListener and AdminListener create it. Its methods must not be
@@ -182,11 +184,32 @@
 func (l *Listener) handOff(accepted net.Conn, waitingSince time.Time) {
 	l.open.Add(1)
 	connection := &Conn{openCount: l.open, waitingSince: waitingSince}
-	l.loop.Post(func() {
-		connection.handler = l.newHandler(connection)
-		if err := l.loop.register(accepted, connection); err != nil {
-			slog.Warn("connection registration failed", "err", err)
-			connection.reportClosed(err)
+	acceptedAt := time.Now()
+	l.loop.Post(func() { l.register(accepted, connection, acceptedAt) })
+}
+
+// register passes an accepted connection to the poller. During a shortage on this machine it tries again for
+// maxTakeoverTime: the client may have sent a request, which a close would lose.
+func (l *Listener) register(accepted net.Conn, connection *Conn, acceptedAt time.Time) {
+	err := connection.takeOver(accepted)
+	if err != nil && IsLocal(err) && time.Since(acceptedAt) < maxTakeoverTime {
+		if connection.waitingSince.IsZero() {
+			connection.waitingSince = acceptedAt
 		}
-	})
+		time.AfterFunc(acceptRetry, func() {
+			l.loop.Post(func() { l.register(accepted, connection, acceptedAt) })
+		})
+		return
+	}
+	if err != nil {
+		slog.Warn("connection takeover failed", "err", err)
+		_ = accepted.Close()
+		connection.release()
+		return
+	}
+	connection.handler = l.newHandler(connection)
+	if err := l.loop.register(connection); err != nil {
+		slog.Warn("connection registration failed", "err", err)
+		connection.reportClosed(err)
+	}
 }
--- a/internal/serve/eventloop/poller.go
+++ b/internal/serve/eventloop/poller.go
@@ -21,16 +21,21 @@
 	shortageRetry = time.Millisecond
 )
 
-// register passes a connection to the poller. It must be called on the owning goroutine, after the
-// connection's handler has been set.
-func (l *Loop) register(accepted net.Conn, connection *Conn) error {
-	socket, err := nbio.NBConn(accepted)
+// takeOver gives the connection the socket of an established one, which it closes. After an error, that one is still
+// open.
+func (c *Conn) takeOver(established net.Conn) error {
+	socket, err := nbio.NBConn(established)
 	if err != nil {
-		_ = accepted.Close()
-		connection.release()
 		return err
 	}
-	connection.socket = socket
+	c.socket = socket
+	return nil
+}
+
+// register passes a connection to the poller. It must be called on the owning goroutine, after the connection has
+// taken over a socket and its handler has been set.
+func (l *Loop) register(connection *Conn) error {
+	socket := connection.socket
 	socket.SetSession(connection)
 	if err := socket.SetNoDelay(true); err != nil {
 		slog.Debug("no TCP_NODELAY", "err", err)
