Let system calls fail in half of the soak's runs

Change: a soak's plan draws up to three failing calls, or transfers of one byte, from a stream of its own, so that the other draws of a seed stay. Errors that end a connection are drawn for connections to servers only: on a client's connection they are the loss of its request.

--- a/cmd/piernotch-lab/soak.go
+++ b/cmd/piernotch-lab/soak.go
@@ -98,6 +98,7 @@
 	}
 	options := loadtest.Options{
 		Program: c.Program, Faults: plan.Steps, IdleClients: plan.Crowd, Sockets: plan.Sockets, KeepIdle: plan.KeepIdle,
+		SyscallFaults: plan.SystemCalls,
 	}
 	if c.Logs != "" {
 		options.LogDir = filepath.Join(c.Logs, fmt.Sprint(seed))
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -8,6 +8,7 @@
 
 	"piernotch/internal/lab/chaos"
 	"piernotch/internal/lab/scenario"
+	"piernotch/internal/lab/syscallfault"
 )
 
 const (
@@ -36,6 +37,7 @@
 	Sockets     int           // descriptor limit of each balancer; 0 means the default
 	KeepIdle    time.Duration // how long clients reuse an idle connection
 	Traits      []string      // descriptions of what was drawn
+	SystemCalls syscallfault.Schedule
 }
 
 // Draw draws the plan of a seed for a run of the given length. It fails if length is less than MinLength, or if the
@@ -60,6 +62,11 @@
 		plan.Crowd, plan.Sockets = crowdSockets, crowdSockets
 		plan.Traits = append(plan.Traits, "a crowd")
 	}
+	plan.SystemCalls = drawSystemCalls(seed, length)
+	for _, fault := range plan.SystemCalls.Faults {
+		plan.Traits = append(plan.Traits, fmt.Sprintf("%v in %.0f%% of the calls from %.1f s to %.1f s",
+			fault, 100*fault.Share, fault.From.Seconds(), fault.Until.Seconds()))
+	}
 	plan.Steps, err = chaos.Draw("soak", seed, chaos.Size{
 		Balancers: len(realization.Balancers),
 		Servers:   len(realization.Servers),
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -12,7 +12,7 @@
 // Every seed must give a valid plan, the same each time, whose steps end early enough for the service to recover.
 func TestDrawGivesValidPlans(t *testing.T) {
 	actions := map[chaos.Action]int{}
-	crowds := 0
+	crowds, systemCalls := 0, 0
 	for seed := range uint64(300) {
 		plan, err := Draw(seed, MinLength)
 		require.NoError(t, err, "seed %d", seed)
@@ -25,6 +25,11 @@
 			actions[step.Action]++
 			require.LessOrEqual(t, step.End(), MinLength-chaos.RecoveryTime)
 		}
+		require.NoError(t, plan.SystemCalls.Validate())
+		for _, fault := range plan.SystemCalls.Faults {
+			systemCalls++
+			require.LessOrEqual(t, fault.Until, MinLength-chaos.RecoveryTime+time.Second)
+		}
 		if plan.Crowd > 0 {
 			crowds++
 		}
@@ -36,6 +41,7 @@
 		require.Greater(t, actions[action], 50, action)
 	}
 	require.Greater(t, crowds, 50)
+	require.Greater(t, systemCalls, 200)
 }
 
 func TestDrawRejectsShortRuns(t *testing.T) {
--- a/internal/lab/syscallfault/schedule.go
+++ b/internal/lab/syscallfault/schedule.go
@@ -74,7 +74,8 @@
 // with neither or both of Error and OneByte, or with OneByte for a call that transfers nothing.
 var ErrInvalidFault = errors.New("invalid system call fault")
 
-func (s Schedule) validate() error {
+// Validate returns ErrInvalidFault for the first invalid fault, if there is any.
+func (s Schedule) Validate() error {
 	for i, fault := range s.Faults {
 		if !fault.valid() {
 			return fmt.Errorf("%w: fault %d (%v)", ErrInvalidFault, i, fault)
--- a/internal/lab/syscallfault/supervisor.go
+++ b/internal/lab/syscallfault/supervisor.go
@@ -50,7 +50,7 @@
 // Start changes its path, environment and files. Errors are ErrInvalidFault, ErrNoFilter and those of exec.Cmd.Start.
 // The calling program must have called RunLauncher.
 func Start(command *exec.Cmd, schedule Schedule) (*Supervisor, error) {
-	if err := schedule.validate(); err != nil {
+	if err := schedule.Validate(); err != nil {
 		return nil, err
 	}
 	listener, err := launch(command)
--- a/internal/lab/syscallfault/supervisor_test.go
+++ b/internal/lab/syscallfault/supervisor_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // childPortEnv makes the test binary run childCalls in place of the tests.
@@ -51,6 +52,9 @@
 		return
 	}
 	result("setsockopt", 0, syscall.SetsockoptInt(socket, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1))
+	readable := []unix.PollFd{{Fd: int32(socket), Events: unix.POLLIN}}
+	_, err = unix.Poll(readable, -1)
+	result("poll", 0, err)
 	buffer := make([]byte, 5)
 	n, err := syscall.Read(socket, buffer)
 	result("read", n, err)
@@ -92,7 +96,7 @@
 }
 
 func TestOnlyChosenCallsFail(t *testing.T) {
-	untouched := []string{"socket 0", "connect 0", "setsockopt 0", "read 5", `got "hello"`, "write 5", "dup 0"}
+	untouched := []string{"socket 0", "connect 0", "setsockopt 0", "poll 0", "read 5", `got "hello"`, "write 5", "dup 0"}
 	for name, test := range map[string]struct {
 		fault    Fault
 		want     string // the line that differs from untouched
