--- a/internal/lab/syscallfault/supervisor_test.go
+++ b/internal/lab/syscallfault/supervisor_test.go
@@ -96,7 +96,9 @@
 }
 
 func TestOnlyChosenCallsFail(t *testing.T) {
-	untouched := []string{"socket 0", "connect 0", "setsockopt 0", "poll 0", "read 5", `got "hello"`, "write 5", "dup 0"}
+	untouched := []string{
+		"socket 0", "connect 0", "setsockopt 0", "poll 0", "read 5", `got "hello"`, "write 5", "dup 0",
+	}
 	for name, test := range map[string]struct {
 		fault    Fault
 		want     string // the line that differs from untouched
