Hold up attempts before their write in a test on processes

Change: a system call fault may hold up its thread before the call. A load test holds up a tenth of the writes to servers for 0.14 s, while servers drain with a grace of 0.5 s, crash and fail, with repeats within 0.6 s for keyed classes; safe and unsafe classes as well.

--- a/internal/lab/loadtest/syscallfault_test.go
+++ b/internal/lab/loadtest/syscallfault_test.go
@@ -87,3 +87,39 @@
 		})
 	}
 }
+
+// A balancer may be held up for 0.15 s between reading its clock and writing an attempt. The deadline that it tells,
+// the grace of a drain and the window of a repeat must allow for that; 10 ms are left to the machine.
+func TestInvariantsHoldWhileAttemptsAreHeldUpBeforeTheirWrite(t *testing.T) {
+	t.Parallel()
+	program := buildBalancer(t)
+	for _, effect := range []string{"safe", "keyed", "unsafe"} {
+		t.Run(effect, func(t *testing.T) {
+			t.Parallel()
+			realization := testRealization(t, `
+[[trouble]]
+kind = "leave"
+at_s = 1
+for_s = 4
+part = 0.5
+ramp_s = 6
+[[trouble]]
+kind = "crash"
+at_s = 2
+for_s = 1
+part = 0.2
+`, "length_s=8", "traffic.rate_per_s=30", "class.*.effect="+effect, "class.*.window_ms=600", "kind.*.error_rate=0.1",
+				"rules.drain_grace_ms=500", "discovery.notice_s=0.2", "discovery.period_ms=100", "balancers.count=2")
+			report, err := Run(context.Background(), realization, Options{
+				Program: program,
+				SyscallFaults: syscallfault.Schedule{Seed: 1, Faults: []syscallfault.Fault{{
+					Call: syscallfault.Write, Side: syscallfault.Outgoing, Delay: 140 * time.Millisecond, Share: 0.1,
+				}}},
+			})
+			require.NoError(t, err)
+			t.Log(report.SyscallFaults, report.Counts)
+			require.Zero(t, report.ViolationCount(), "%v", report.Violations)
+			require.Greater(t, report.Counts.Served, report.Requests/2)
+		})
+	}
+}
--- a/internal/lab/syscallfault/schedule.go
+++ b/internal/lab/syscallfault/schedule.go
@@ -45,11 +45,13 @@
 	Outgoing
 )
 
-// Fault makes a share of the calls of a group fail for some time. Either Error or OneByte is set.
+// Fault makes a share of the calls of a group fail, or take longer, for some time. One of Error, OneByte and Delay is
+// set.
 type Fault struct {
 	Call    Call
 	Error   syscall.Errno // what the call returns
 	OneByte bool          // the call, a Read or Write, transfers one byte
+	Delay   time.Duration // the thread is held up for so long before the call
 	Side    Side          // for Read, Write and SetSocketOption
 	Share   float64       // share of the calls that fail, over 0 and up to 1
 	// From and Until are times since the process was started. Until 0 means for good.
@@ -57,11 +59,13 @@
 }
 
 func (f Fault) String() string {
-	what := "one byte"
-	if !f.OneByte {
-		what = f.Error.Error()
+	switch {
+	case f.OneByte:
+		return fmt.Sprintf("%v: one byte", f.Call)
+	case f.Delay > 0:
+		return fmt.Sprintf("%v: held up for %v", f.Call, f.Delay)
 	}
-	return fmt.Sprintf("%v: %s", f.Call, what)
+	return fmt.Sprintf("%v: %v", f.Call, f.Error)
 }
 
 // Schedule says which calls of a process fail. Where several faults apply to a call, the first that is drawn is played.
@@ -71,7 +75,7 @@
 }
 
 // ErrInvalidFault is returned for a fault with an unknown call, a share outside its range or an end before its start,
-// with neither or both of Error and OneByte, or with OneByte for a call that transfers nothing.
+// with none or several of Error, OneByte and Delay, or with OneByte for a call that transfers nothing.
 var ErrInvalidFault = errors.New("invalid system call fault")
 
 // Validate returns ErrInvalidFault for the first invalid fault, if there is any.
@@ -87,12 +91,14 @@
 func (f Fault) valid() bool {
 	shareInRange := f.Share > 0 && f.Share <= 1
 	ordered := f.Until == 0 || f.Until > f.From
-	fails := f.Error != 0
-	if f.OneByte {
-		transfers := f.Call == Read || f.Call == Write
-		fails = !fails && transfers
+	transfers := f.Call == Read || f.Call == Write
+	effects := 0
+	for _, set := range []bool{f.Error != 0, f.OneByte, f.Delay > 0} {
+		if set {
+			effects++
+		}
 	}
-	return f.Call < callCount && shareInRange && ordered && fails
+	return f.Call < callCount && shareInRange && ordered && effects == 1 && (transfers || !f.OneByte)
 }
 
 // player draws which calls fail. The draws depend on the seed and the order of the calls alone.
--- a/internal/lab/syscallfault/supervisor.go
+++ b/internal/lab/syscallfault/supervisor.go
@@ -17,9 +17,10 @@
 
 // Supervisor plays a schedule on one process. Its methods may be called from any goroutine.
 type Supervisor struct {
-	listener int       // descriptor of the filter's notifications; closed by supervise
-	process  int       // PID
-	started  time.Time // when the process was started
+	listener int            // descriptor of the filter's notifications; closed by supervise
+	process  int            // PID
+	started  time.Time      // when the process was started
+	delayed  sync.WaitGroup // calls that are held up
 
 	mu       sync.Mutex // guards the fields below
 	player   *player
@@ -84,7 +85,10 @@
 
 // supervise answers calls until no process is left under the filter.
 func (s *Supervisor) supervise() {
-	defer func() { _ = unix.Close(s.listener) }()
+	defer func() {
+		s.delayed.Wait() // they use the descriptor
+		_ = unix.Close(s.listener)
+	}()
 	for {
 		descriptors := []unix.PollFd{{Fd: int32(s.listener), Events: unix.POLLIN}}
 		_, err := unix.Poll(descriptors, -1)
@@ -111,8 +115,21 @@
 		}
 		return
 	}
-	answer := s.answer(&received)
+	answer, delay := s.answer(&received)
 	answer.id = received.id
+	if delay == 0 {
+		s.send(answer)
+		return
+	}
+	s.delayed.Add(1)
+	time.AfterFunc(delay, func() {
+		defer s.delayed.Done()
+		s.send(answer)
+	})
+}
+
+// send answers a call. A call whose thread has ended meanwhile is no error.
+func (s *Supervisor) send(answer response) {
 	err := s.control(unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&answer))
 	if err != nil && !errors.Is(err, unix.ENOENT) {
 		s.recordError(fmt.Errorf("answering a call: %w", err))
@@ -138,24 +155,27 @@
 // letThrough makes the kernel go on with a call.
 var letThrough = response{flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE}
 
-// answer decides what a call returns.
-func (s *Supervisor) answer(received *notification) response {
+// answer decides what a call returns, and for how long its thread is held up before.
+func (s *Supervisor) answer(received *notification) (answer response, delay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	call := calls[uint32(received.number)]
 	side, applies := s.side(call, received)
 	if !applies {
-		return letThrough
+		return letThrough, 0
 	}
 	index, fails := s.player.draw(call, side, time.Since(s.started))
 	if !fails {
-		return letThrough
+		return letThrough, 0
 	}
 	fault := s.player.schedule.Faults[index]
-	if fault.OneByte {
-		return s.transferOneByte(call, received)
+	switch {
+	case fault.OneByte:
+		return s.transferOneByte(call, received), 0
+	case fault.Delay > 0:
+		return letThrough, fault.Delay
 	}
-	return response{errno: -int32(fault.Error)}
+	return response{errno: -int32(fault.Error)}, 0
 }
 
 // side returns the side of a call's socket; false: the call is not on a TCP or Unix socket, and does not fail.
--- a/internal/lab/syscallfault/supervisor_test.go
+++ b/internal/lab/syscallfault/supervisor_test.go
@@ -153,6 +153,16 @@
 	require.Equal(t, []int{1}, supervisor.Played())
 }
 
+func TestDelayedCallTakesEffectLater(t *testing.T) {
+	const delay = 100 * time.Millisecond
+	start := time.Now()
+	held := Fault{Call: Write, Side: Outgoing, Delay: delay, Share: 1}
+	printed, received, _ := runChild(t, Schedule{Faults: []Fault{held}})
+	require.GreaterOrEqual(t, time.Since(start), delay)
+	require.Contains(t, printed, "write 5")
+	require.Equal(t, "12345", received)
+}
+
 func TestInvalidFaultsAreRejected(t *testing.T) {
 	for _, fault := range []Fault{
 		{Call: callCount, Error: syscall.EINTR, Share: 1},
@@ -161,6 +171,7 @@
 		{Call: Read, Share: 1},
 		{Call: Read, Error: syscall.EINTR, OneByte: true, Share: 1},
 		{Call: Accept, OneByte: true, Share: 1},
+		{Call: Read, Delay: time.Second, OneByte: true, Share: 1},
 		{Call: Read, Error: syscall.EINTR, Share: 1, From: time.Second, Until: time.Second},
 	} {
 		_, err := Start(exec.Command(os.Args[0]), Schedule{Faults: []Fault{fault}})
