Take no error of the operating system for a corrupt voter file

Cause: openDatabase counted any error but a lock timeout and a missing permission as corruption: EMFILE, ENOSPC, EIO, ELOOP too.

Change: an error of a system call is returned as it is, and the voter does not start. bbolt reports a page that cannot be read as an invalid one, so the file is read through before it is called corrupt.

Result: TestErrorOfTheOperatingSystemIsNoCorruption fails without the change in all three cases ("corrupt: ... too many open files"). A second test cuts a store of two entries after every 512 bytes: each prefix is read completely or reported as corrupt, before the change as well.

--- a/internal/controlgroup/consensus/store.go
+++ b/internal/controlgroup/consensus/store.go
@@ -5,9 +5,11 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -86,8 +88,8 @@
 
 // OpenStore opens a voter's file, or creates it with a new ID, increments its start count, and returns its content.
 // An error about the file's content, owner or lock is a *StoreError, except that a decoding error of the starts record
-// is returned unchanged. So is any other error, such as a missing permission: it does not show that the file is
-// damaged.
+// is returned unchanged. So is any error of the operating system, such as a missing permission: it does not show that
+// the file is damaged.
 func OpenStore(path, group, name string) (store *Store, state PersistentState, err error) {
 	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
 		return nil, PersistentState{}, err
@@ -126,8 +128,8 @@
 	return store, state, err
 }
 
-// openDatabase opens the file as a bbolt database. Any error but a lock timeout or a missing permission is taken for
-// corruption of the file.
+// openDatabase opens the file as a bbolt database. An error of the operating system, such as a shortage of descriptors
+// or a disk that cannot be read, does not show that the file is corrupt; any other error but a lock timeout does.
 func openDatabase(path string) (*bbolt.DB, error) {
 	db, err := openRecovering(path)
 	switch {
@@ -135,11 +137,30 @@
 		return db, nil
 	case errors.Is(err, bolterrors.ErrTimeout):
 		return nil, &StoreError{Path: path, Err: ErrStoreInUse}
-	case errors.Is(err, os.ErrPermission):
+	case isSystemError(err):
 		return nil, err
-	default:
-		return nil, &StoreError{Path: path, Err: fmt.Errorf("%w: %w", ErrCorrupt, err)}
 	}
+	if readErr := readThrough(path); isSystemError(readErr) { // bbolt reports an unreadable page as an invalid one
+		return nil, readErr
+	}
+	return nil, &StoreError{Path: path, Err: fmt.Errorf("%w: %w", ErrCorrupt, err)}
+}
+
+// isSystemError reports whether a system call failed.
+func isSystemError(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno)
+}
+
+// readThrough reads the whole file.
+func readThrough(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	_, err = io.Copy(io.Discard, file)
+	return err
 }
 
 // openRecovering calls bbolt.Open and returns its panics on inconsistent pages as errors.
--- a/internal/controlgroup/consensus/store_test.go
+++ b/internal/controlgroup/consensus/store_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strconv"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -104,3 +106,65 @@
 		})
 	}
 }
+
+// Regression: an error of the operating system was taken for a corrupt file, and the caller quarantined an intact one.
+func TestErrorOfTheOperatingSystemIsNoCorruption(t *testing.T) {
+	for name, prepare := range map[string]func(t *testing.T, path string) error{
+		"directory in its place": func(_ *testing.T, path string) error { return os.Mkdir(path, 0o700) },
+		"circular link":          func(_ *testing.T, path string) error { return os.Symlink(path, path) },
+		"no descriptor left": func(t *testing.T, path string) error {
+			t.Helper()
+			store, _, err := OpenStore(path, "g", "n1")
+			require.NoError(t, err)
+			require.NoError(t, store.Close())
+			return forbidNewDescriptors(t)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "voter")
+			require.NoError(t, prepare(t, path))
+			_, _, err := OpenStore(path, "g", "n1")
+			require.Error(t, err)
+			require.NotErrorIs(t, err, ErrCorrupt)
+		})
+	}
+}
+
+// forbidNewDescriptors makes every call that opens a descriptor fail with EMFILE until the test ends.
+func forbidNewDescriptors(t *testing.T) error {
+	t.Helper()
+	var limit syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	t.Cleanup(func() { require.NoError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)) })
+	return syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 0, Max: limit.Max})
+}
+
+// A file that ends anywhere, as after a kill within a write or on a full disk, is either read completely or reported
+// as corrupt: the voter then comes back under a new ID, and never with a part of its log.
+func TestStoreCutAnywhereIsCorruptOrComplete(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "voter")
+	store, _, err := OpenStore(path, "g", "n1")
+	require.NoError(t, err)
+	require.NoError(t, store.Bootstrap(Bootstrap([]protocol.Voter{{ID: store.Identity().ID, Name: "n1"}})))
+	require.NoError(t, store.Write(Ready{Entries: []*raftpb.Entry{entryAt(2, 1, "a"), entryAt(3, 1, "b")}}))
+	require.NoError(t, store.Close())
+	intact, err := os.ReadFile(path)
+	require.NoError(t, err)
+	const step = 512 // bytes of a sector
+	corrupt := 0
+	for size := step; size <= len(intact); size += step {
+		cutPath := filepath.Join(dir, strconv.Itoa(size))
+		require.NoError(t, os.WriteFile(cutPath, intact[:size], 0o600))
+		cut, state, err := OpenStore(cutPath, "g", "n1")
+		if err != nil {
+			require.ErrorIs(t, err, ErrCorrupt, "%d bytes", size)
+			corrupt++
+			continue
+		}
+		require.Len(t, state.Entries, 2, "%d bytes", size)
+		require.Equal(t, store.Identity().ID, cut.Identity().ID, "%d bytes", size)
+		require.NoError(t, cut.Close())
+	}
+	require.Positive(t, corrupt)
+}
