Keep the accept queue alone in the listener, and record no rejected exchange

Change: Listener has the queue, which returns its own waiting time; a response other than 200 is not added to its connection's exchanges.

Result: the tests of eventloop, downstream and upstream pass.

--- a/internal/serve/eventloop/accept_queue.go
+++ b/internal/serve/eventloop/accept_queue.go
@@ -25,6 +25,15 @@
 	return q.waitingSince
 }
 
+// waitingTime returns for how long clients may have been waiting, 0 if every client is accepted as soon as it connects.
+func (q *acceptQueue) waitingTime() time.Duration {
+	since := q.since()
+	if since.IsZero() {
+		return 0
+	}
+	return time.Since(since)
+}
+
 // pause records that from now on clients are left waiting.
 func (q *acceptQueue) pause() {
 	q.mu.Lock()
--- a/internal/serve/eventloop/listener.go
+++ b/internal/serve/eventloop/listener.go
@@ -34,8 +34,7 @@
 
 	mu        sync.Mutex
 	file      *os.File     // inherited socket, which other processes hold, too; nil: not inherited
-	listener  net.Listener // nil: not accepting
-	queue     *acceptQueue // of listener
+	queue     *acceptQueue // of the listening socket; nil: not accepting
 	stoppedAt time.Time    // when Stop was called, or Inherit; zero: neither was
 	address   string
 }
@@ -112,7 +111,7 @@
 func (l *Listener) Accepting() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.listener != nil
+	return l.queue != nil
 }
 
 // QueueTime returns for how long clients may have been waiting in the accept queue. It is 0 if every client is accepted
@@ -120,14 +119,10 @@
 func (l *Listener) QueueTime() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.listener == nil {
+	if l.queue == nil {
 		return 0
 	}
-	since := l.queue.since()
-	if since.IsZero() {
-		return 0
-	}
-	return time.Since(since)
+	return l.queue.waitingTime()
 }
 
 // Addr returns the address of the socket, or "" before Listen or Inherit.
@@ -137,16 +132,15 @@
 func (l *Listener) Stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.listener != nil {
-		_ = l.listener.Close()
-		l.listener = nil
+	if l.queue != nil {
+		_ = l.queue.listener.Close()
+		l.queue = nil
 		l.stoppedAt = time.Now()
 	}
 }
 
 func (l *Listener) start(listener net.Listener) {
 	l.mu.Lock()
-	l.listener = listener
 	l.address = listener.Addr().String()
 	queue := &acceptQueue{listener: listener, waitingSince: l.stoppedAt}
 	l.queue = queue
--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -96,11 +96,11 @@
 	case c.repeatDropped && response.Status != http1.StatusOK:
 		// If the dropped response was the attempt's own after all, this one must not prove that nothing was executed.
 		c.fail(Malformed, errRepeatedResponse)
+	case response.Status != http1.StatusOK: // often equal, but no connection is reused behind rejections and errors
+		c.responseReceived(response, false)
 	default:
 		c.carried.add(digests, now)
-		// Rejections and errors are often equal, but no connection is reused behind them.
-		distinct := response.Status == http1.StatusOK &&
-			c.pool.upstream.history.add(http1.FirstSegment(c.attempt.request.Target), digests)
+		distinct := c.pool.upstream.history.add(http1.FirstSegment(c.attempt.request.Target), digests)
 		c.responseReceived(response, distinct)
 	}
 }
