--- a/internal/serve/config/reload_test.go
+++ b/internal/serve/config/reload_test.go
@@ -11,19 +11,30 @@
 	"piernotch"
 )
 
-// A reload must reject a file that is incomplete: a missing key would read as zero.
-func TestReloadedFileMustBeComplete(t *testing.T) {
+// exampleFile returns the text of the example configuration, an environment that names a file, and a function that
+// writes that file.
+func exampleFile(t *testing.T) (example string, env func(string) string, write func(text string)) {
+	t.Helper()
 	data, err := os.ReadFile("../../../deploy/example.json")
 	require.NoError(t, err)
 	name := filepath.Join(t.TempDir(), "config.json")
-	env := func(key string) string { return map[string]string{"ROUTER_CONFIG": name}[key] }
-	write := func(text string) { require.NoError(t, os.WriteFile(name, []byte(text), 0o600)) }
-	write(string(data))
+	env = func(key string) string { return map[string]string{"ROUTER_CONFIG": name}[key] }
+	write = func(text string) {
+		t.Helper()
+		require.NoError(t, os.WriteFile(name, []byte(text), 0o600))
+	}
+	return string(data), env, write
+}
+
+// A reload must reject a file that is incomplete: a missing key would read as zero.
+func TestReloadedFileMustBeComplete(t *testing.T) {
+	example, env, write := exampleFile(t)
+	write(example)
 	cfg, err := Load(env)
 	require.NoError(t, err)
 	for _, c := range []struct{ old, new, message string }{
-		{string(data), "", "ROUTER_CONFIG: "},
-		{string(data), string(data)[:900], "ROUTER_CONFIG: "},
+		{example, "", "ROUTER_CONFIG: "},
+		{example, example[:900], "ROUTER_CONFIG: "},
 		{`"points": 5, `, "", "ROUTER_CONFIG: settings.classes[0].points: missing"},
 		{`"zones": ["addis"], `, "", "ROUTER_CONFIG: settings.zones: missing"},
 		{`"cold_from": 0.12, `, "", "ROUTER_CONFIG: settings.rules.cold_from: missing"},
@@ -34,12 +45,12 @@
 		{`"specifics": {"warm_keys": true}`, `"specifics": 3`, "settings: "},
 		{`"classes": [`, `"classes": [], "others": [`, "settings: no classes"},
 	} {
-		write(strings.Replace(string(data), c.old, c.new, 1))
+		write(strings.Replace(example, c.old, c.new, 1))
 		_, err := cfg.Reload(env)
 		require.ErrorContains(t, err, c.message, c.new)
 	}
 	// Classes may be added and removed, and keys may be added.
-	write(strings.Replace(string(data), `{"name": "segment-read",`, `{"name": "other", "x": 1,`, 1))
+	write(strings.Replace(example, `{"name": "segment-read",`, `{"name": "other", "x": 1,`, 1))
 	next, err := cfg.Reload(env)
 	require.NoError(t, err)
 	require.Equal(t, "other", next.Settings.Classes[0].Name)
@@ -48,13 +59,8 @@
 // A keyed class without its scope would be repeated where servers do not know its keys.
 func TestReloadedKeyedClassMustBeComplete(t *testing.T) {
 	const scope, window = `, "dedup_scope": "zone"`, `, "dedup_window_ms": 6000`
-	data, err := os.ReadFile("../../../deploy/example.json")
-	require.NoError(t, err)
-	unkeyed := string(data)
+	unkeyed, env, write := exampleFile(t)
 	keyed := strings.Replace(unkeyed, `"effect": "unsafe"`, `"effect": "keyed"`+scope+window, 1)
-	name := filepath.Join(t.TempDir(), "config.json")
-	env := func(key string) string { return map[string]string{"ROUTER_CONFIG": name}[key] }
-	write := func(text string) { require.NoError(t, os.WriteFile(name, []byte(text), 0o600)) }
 	for _, started := range []string{keyed, unkeyed} { // the first keyed class may come with the new file
 		write(started)
 		cfg, err := Load(env)
@@ -78,12 +84,9 @@
 
 // The start accepts such a file, with the scope in which a repeat does no harm.
 func TestKeyedClassWithoutScopeIsRepeatedInItsCellOnly(t *testing.T) {
-	data, err := os.ReadFile("../../../deploy/example.json")
-	require.NoError(t, err)
-	name := filepath.Join(t.TempDir(), "config.json")
-	keyed := strings.Replace(string(data), `"effect": "unsafe"`, `"effect": "keyed", "dedup_window_ms": 6000`, 1)
-	require.NoError(t, os.WriteFile(name, []byte(keyed), 0o600))
-	cfg, err := Load(func(key string) string { return map[string]string{"ROUTER_CONFIG": name}[key] })
+	example, env, write := exampleFile(t)
+	write(strings.Replace(example, `"effect": "unsafe"`, `"effect": "keyed", "dedup_window_ms": 6000`, 1))
+	cfg, err := Load(env)
 	require.NoError(t, err)
 	require.Equal(t, piernotch.DedupInCell, cfg.Settings.Classes[1].DedupScope)
 }
