Poll for oneself when the shared watch falls behind lost versions

Cause: followers took any message of the holder for news, also those of a lower version than their own, which they ignore. The holder's own log rejected the lower version, so its heartbeats went on with the old one. A member that took over published the log of its polls from before. And the missing log was looked at before the health of the watch, so that a holder without a successful poll kept the duty.

Change: events below the known version do not keep a balancer from polling. A complete list of a lower version starts the log anew, and the holder asks for a new token. A new holder publishes its log only if its polls go on and nothing later is known. The health is looked at first.

--- a/internal/controlgroup/client/shared_watch.go
+++ b/internal/controlgroup/client/shared_watch.go
@@ -24,6 +24,7 @@
 	follower *watch.Follower
 	holder   *watch.Holder
 
+	tenureToken      lease.Token // the token of the duty as last held
 	publishedToken   lease.Token // the token of the last publication; 0: the whole log must be published again
 	publishedVersion uint64      // the last version of log that was published
 	currentSource    string      // the name of the discovery that this balancer uses now
@@ -134,7 +135,12 @@
 	w.knownSource = event.Source
 	w.knownVersion = event.ToVersion
 	w.oversizedSource = ""
-	w.holder.PollSucceeded(w.client.now())
+	now := w.client.now()
+	w.holder.PollSucceeded(now)
+	if w.versionsBeganAnew(event) {
+		w.log = watch.EventLog{}
+		w.renewTokenLocked(now)
+	}
 	err := w.log.Append(0, event)
 	switch {
 	case errors.Is(err, watch.ErrVersionGap):
@@ -148,6 +154,24 @@
 	}
 }
 
+// versionsBeganAnew reports whether an own poll returned a complete list with a lower version than the log: discovery
+// has lost its versions.
+func (w *sharedWatch) versionsBeganAnew(event controlgroup.WatchEvent) bool {
+	source, version, hasEvents := w.log.Version()
+	return hasEvents && event.Complete && event.Source == source && event.ToVersion < version
+}
+
+// renewTokenLocked releases the duty, if this balancer holds it, and requests it again at the next tick: under the
+// present token the voters take the new versions for outdated ones.
+func (w *sharedWatch) renewTokenLocked(now time.Duration) {
+	if _, held := w.tokenLocked(now); !held {
+		return
+	}
+	slog.Warn("group: duty released, versions of discovery began anew", "duty", w.duty)
+	w.reacquireAt = now
+	w.client.holders[w.duty].Release()
+}
+
 func (w *sharedWatch) requestUpdateLocked(source string, version uint64) {
 	w.knownSource = w.commonName(source)
 	w.knownVersion = version
@@ -176,23 +200,27 @@
 }
 
 // tickLocked publishes what is due while this balancer holds the duty: the whole log if the leader may not have
-// it, and heartbeats otherwise. If discovery stops responding after the log was published, tickLocked releases the
-// duty, so that another member can try, and requests it again after two to four lease durations.
+// it, and heartbeats otherwise. If discovery stops responding, tickLocked releases the duty, so that another member can
+// try, and requests it again after two to four lease durations.
 func (w *sharedWatch) tickLocked(now time.Duration) {
 	token, held := w.tokenLocked(now)
+	if held && token != w.tenureToken {
+		w.startTenureLocked(now, token)
+	}
 	switch {
 	case !held:
-		if w.reacquireAt > 0 && now >= w.reacquireAt {
+		released := !w.client.holders[w.duty].ReleasePending(now) // else the group would grant the old token again
+		if w.reacquireAt > 0 && now >= w.reacquireAt && released {
 			w.reacquireAt = 0
 			w.client.acquire(w.duty)
 		}
-	case token != w.publishedToken:
-		w.publishLocked()
 	case !w.holder.Healthy(now) && w.reacquireAt == 0:
 		slog.Warn("group: duty released, discovery unreachable", "duty", w.duty)
 		twoLeases := 2 * w.client.timing.Duration
 		w.reacquireAt = now + twoLeases + rand.N(twoLeases)
 		w.client.holders[w.duty].Release()
+	case token != w.publishedToken:
+		w.publishLocked()
 	case w.holder.HeartbeatDue(now):
 		if source, version, hasEvents := w.log.Version(); hasEvents {
 			w.publishEventLocked(token, controlgroup.WatchEvent{
@@ -204,6 +232,19 @@
 	}
 }
 
+// startTenureLocked handles the duty's acquisition. The log is published only if it is up to date: its polls go on
+// without a failure, and no later version is known from another holder. Otherwise the next poll requests a complete
+// list. The new holder has the full PollTimeout for that poll.
+func (w *sharedWatch) startTenureLocked(now time.Duration, token lease.Token) {
+	w.tenureToken = token
+	source, version, _ := w.log.Version()
+	upToDate := w.holder.Healthy(now) && source == w.knownSource && version == w.knownVersion
+	if !upToDate {
+		w.log = watch.EventLog{}
+	}
+	w.holder.PollSucceeded(now)
+}
+
 // publishLocked publishes what this balancer's own polls returned since the last publication, if the balancer holds
 // the duty and is connected. If publishedToken differs from the duty's token, publishLocked publishes the whole log
 // instead, which begins with the complete list.
@@ -217,7 +258,6 @@
 	events := w.log.Since(source, w.publishedVersion)
 	if w.publishedToken != token {
 		events = w.log.Since("", 0)
-		w.holder.PollSucceeded(now) // a new holder has the full PollTimeout for its first poll
 	}
 	w.publishedToken = token
 	w.knownSource = source
@@ -244,15 +284,21 @@
 
 // handleEventLocked passes a holder's event to the balancer, with discovery's address as the Source. It ignores
 // events of another discovery, events of a holder that has been replaced, and all events while this balancer holds
-// the duty.
+// the duty. Events of a lower version than the known one do not count either: if discovery has lost its versions,
+// the balancer must poll for itself.
 func (w *sharedWatch) handleEventLocked(token lease.Token, event controlgroup.WatchEvent) {
-	if event.Source != w.currentSource {
+	outdated := event.Source == w.knownSource && event.ToVersion < w.knownVersion
+	if event.Source != w.currentSource || outdated {
 		return
 	}
 	now := w.client.now()
 	if _, held := w.tokenLocked(now); held || !w.follower.EventReceived(now, token) {
 		return
 	}
+	if applied, _ := event.Follows(w.knownSource, w.knownVersion); applied || w.knownSource != event.Source {
+		w.knownSource = event.Source
+		w.knownVersion = event.ToVersion
+	}
 	if event.Source == w.commonName(w.address) {
 		event.Source = w.address
 	}
