Log memory, the states of client connections, and why they were closed

Change: a line "memory" every 10 s and for each eighth of the limit that the resident size grows by; a line "client connections" with the number in each state and the closes by reason; "bad request" names the client and the time since the request's first byte.

Result: tests of the serving packages pass.

--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -91,7 +91,9 @@
 // rejectMalformed responds to malformed or incomplete input and ends the connection,
 // because no further request can be parsed from the input.
 func (c *connection) rejectMalformed(status int, reason string) {
-	slog.Info("bad request", "status", status, "err", reason)
+	c.downstream.badRequests++
+	slog.Info("bad request", "status", status, "err", reason, "client", c.socket.RemoteAddress(),
+		"phase_ms", (c.downstream.now() - c.phaseStart).Milliseconds())
 	c.closeAfterResponse = true
 	c.respondText(status, reason)
 }
@@ -143,7 +145,7 @@
 // startClose stops serving requests on the connection: further input is discarded,
 // and the sending side is closed once all output is written.
 func (c *connection) startClose(reason closeReason) {
-	c.logClose(reason)
+	c.recordClose(reason)
 	c.closing = true
 	c.socket.DiscardInput()
 	c.closeWriteIfSent()
@@ -163,7 +165,7 @@
 // closeNow closes the socket without waiting for unsent output or the client, and
 // abandons a pending request.
 func (c *connection) closeNow(reason closeReason) {
-	c.logClose(reason)
+	c.recordClose(reason)
 	c.socket.Close()
 	delete(c.downstream.connections, c)
 	c.abandonExchange()
--- a/internal/serve/downstream/downstream.go
+++ b/internal/serve/downstream/downstream.go
@@ -28,6 +28,10 @@
 	drainingSince time.Duration // 0: not draining
 	stall         stallWindow
 	crowdedAbove  int // with more connections than this, crowdedIdleTimeout applies
+
+	// Counts since the start of the process, for the log.
+	closes      [closeReasonCount]int
+	badRequests int // malformed or incomplete
 }
 
 // New returns a Downstream without connections. The Downstream calls emit with each
--- a/internal/serve/eventloop/connection.go
+++ b/internal/serve/eventloop/connection.go
@@ -101,6 +101,9 @@
 // UnsentBytes returns the number of bytes passed to Write that the kernel has not accepted yet.
 func (c *Conn) UnsentBytes() int64 { return c.queuedBytes - c.writtenBytes.Load() }
 
+// RemoteAddress returns the peer's IP address and port, for the log.
+func (c *Conn) RemoteAddress() string { return c.socket.RemoteAddr().String() }
+
 // Close closes the connection. The handler is not called again.
 func (c *Conn) Close() {
 	if !c.closed {
--- a/internal/serve/runtime/balancer.go
+++ b/internal/serve/runtime/balancer.go
@@ -46,6 +46,7 @@
 	adminListener *eventloop.Listener // nil: no admin address
 	siblings      siblingProcesses
 	recorder      *traceRecorder // nil: no trace
+	memory        memoryLog
 
 	clockStart  time.Time     // when New read the system clock
 	unixAtStart time.Duration // clockStart as Unix time
--- a/internal/serve/runtime/resource_limits.go
+++ b/internal/serve/runtime/resource_limits.go
@@ -21,6 +21,7 @@
 // new descriptor claim, so that all processes together stay within the balancer's limits.
 func (b *Balancer) applyResourceLimits() {
 	descriptors, memory := b.resourceShare()
+	b.memory.limit = int64(b.cfg.MemoryMB) << 20
 	if descriptors != b.descriptorLimit {
 		b.descriptorLimit = descriptors
 		b.loop.SetDescriptorLimit(max(descriptors, minDescriptors))
--- a/internal/serve/runtime/totals.go
+++ b/internal/serve/runtime/totals.go
@@ -5,14 +5,18 @@
 	"time"
 )
 
-// logPeriodically logs totals and has the core log the module's state, each at its interval.
+// logPeriodically logs totals, memory and client connections, and has the core log the module's state, each at its
+// interval.
 func (b *Balancer) logPeriodically(now time.Duration) {
 	if now-b.totalsLogged >= totalsInterval {
 		if b.totalsLogged > 0 {
 			b.logTotals("totals")
+			b.downstream.LogState()
+			b.memory.log()
 		}
 		b.totalsLogged = now
 	}
+	b.memory.logIfGrown(now)
 	if now-b.stateLogged >= stateInterval {
 		b.stateLogged = now
 		b.core.LogState()
