Play crowds that misuse connections, and enforce the memory limit in load tests

Load tests had only idle crowds, and nothing looked at the memory of a process.

Change: load.Crowd plays thirteen kinds of clients that misuse connections; the idle clients of the soak are one of them. A balancer process that passes its configured memory is killed, which ends the run with ErrMemoryExceeded.

--- /dev/null
+++ b/internal/lab/load/crowd.go
@@ -0,0 +1,78 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// CrowdIDPrefix begins the IDs of all requests of crowds. No invariant is checked for them.
+const CrowdIDPrefix = "crowd-"
+
+// crowdDialTimeout limits the wait of a client of a crowd for its connection.
+const crowdDialTimeout = time.Second
+
+// IsCrowdID reports whether an ID is that of a request of a crowd.
+func IsCrowdID(id string) bool { return strings.HasPrefix(id, CrowdIDPrefix) }
+
+// Crowd is a number of clients that all connect to balancers at once and misuse their connections in the same way.
+// Whenever a connection ends, its client opens another one. All exported fields are required.
+type Crowd struct {
+	Kind    *CrowdKind
+	Clients int
+	Pick    PickBalancer
+	Seed    uint64
+
+	connections atomic.Int64
+}
+
+// Connections returns the number of connections that were opened so far.
+func (c *Crowd) Connections() int { return int(c.connections.Load()) }
+
+// Run plays the crowd until the context ends.
+func (c *Crowd) Run(ctx context.Context) {
+	var clients sync.WaitGroup
+	for number := range c.Clients {
+		rng := rand.New(rand.NewPCG(c.Seed, uint64(number)))
+		clients.Go(func() { // ends with the context
+			for ctx.Err() == nil {
+				c.playClient(ctx, rng)
+				sleep(ctx, c.Kind.pause)
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// playClient opens a connection, misuses it, and waits until the balancer closes it or the context ends.
+func (c *Crowd) playClient(ctx context.Context, rng *rand.Rand) {
+	picked, ok := c.Pick(0, rng)
+	if !ok || picked.OnlyOpen {
+		return
+	}
+	dialer := net.Dialer{Timeout: crowdDialTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", picked.Address)
+	if err != nil {
+		return
+	}
+	id := fmt.Sprintf("%s%x-%d", CrowdIDPrefix, c.Seed, c.connections.Add(1))
+	defer context.AfterFunc(ctx, func() { _ = connection.Close() })()
+	defer func() { _ = connection.Close() }()
+	go c.Kind.misuse(connection, id) // ends at the latest when the connection is closed
+	discardAll(connection)
+}
+
+// discardAll reads until the connection ends.
+func discardAll(connection net.Conn) {
+	buffer := make([]byte, readBufferSize)
+	for {
+		if _, err := connection.Read(buffer); err != nil {
+			return
+		}
+	}
+}
--- a/internal/lab/loadtest/balancer.go
+++ b/internal/lab/loadtest/balancer.go
@@ -51,6 +51,7 @@
 	configFile string
 	listener   *listener // nil: each process binds the address
 	syscalls   syscallfault.Schedule
+	memoryMB   int // limit of each process
 
 	handover sync.Mutex // held during a handover
 
@@ -59,6 +60,7 @@
 	routing   routing       // whether and on which connections clients use the balancer
 	crash     error         // error of a process that exited by itself while current; nil: none
 	exitedCPU time.Duration // CPU time of exited processes
+	peakMB    float64       // highest resident memory of any process, in units of 2^20 bytes
 	// supervisors make system calls of the processes fail: one for each process, if any calls are to fail.
 	supervisors []*syscallfault.Supervisor
 }
@@ -69,6 +71,7 @@
 	exited       chan struct{} // closed once the process has exited
 	adminAddress string        // address for admin calls; "": none
 	stopping     bool          // told to end, or killed while current; guarded by balancer.mu
+	peakMB       float64       // highest resident memory, in units of 2^20 bytes; guarded by balancer.mu
 }
 
 // listener is the listening socket that all processes of a balancer inherit, and their shared temporary directory.
@@ -98,6 +101,7 @@
 		address:    address,
 		configFile: filepath.Join(opts.LogDir, fmt.Sprintf("n%d.json", number)),
 		syscalls:   opts.SyscallFaults,
+		memoryMB:   opts.MemoryMB,
 	}, nil
 }
 
@@ -248,7 +252,8 @@
 	if err := b.launch(started.cmd); err != nil {
 		return nil, &BalancerError{Balancer: b.number, Err: err}
 	}
-	go b.awaitProcess(started) // ends with the process
+	go b.awaitProcess(started)       // ends with the process
+	go b.enforceMemoryLimit(started) // ends with the process
 	return started, nil
 }
 
@@ -286,17 +291,18 @@
 }
 
 // awaitProcess waits until a process has exited, adds up its CPU time, and closes its exited channel. It records a
-// crash if the process was current and not told to end.
+// crash if the process passed its memory limit, or was current and not told to end.
 func (b *balancer) awaitProcess(started *process) {
 	err := started.cmd.Wait()
 	b.mu.Lock()
 	b.exitedCPU += started.cmd.ProcessState.UserTime() + started.cmd.ProcessState.SystemTime()
-	if b.process == started && !started.stopping {
-		cause := ErrBalancerExited
-		if err != nil {
-			cause = fmt.Errorf("%w: %w", ErrBalancerExited, err)
-		}
-		b.crash = b.error("", cause)
+	switch {
+	case started.peakMB > float64(b.memoryMB):
+		b.crash = b.error("", fmt.Errorf("%w: %.1f of %d MB", ErrMemoryExceeded, started.peakMB, b.memoryMB))
+	case b.process == started && !started.stopping && err != nil:
+		b.crash = b.error("", fmt.Errorf("%w: %w", ErrBalancerExited, err))
+	case b.process == started && !started.stopping:
+		b.crash = b.error("", ErrBalancerExited)
 	}
 	b.mu.Unlock()
 	close(started.exited)
--- a/internal/lab/loadtest/crowd.go
+++ b/internal/lab/loadtest/crowd.go
@@ -2,42 +2,60 @@
 
 import (
 	"context"
-	"net"
+	"math/rand/v2"
 	"time"
+
+	"piernotch/internal/lab/load"
 )
 
-// reconnectPause is how long an idle client waits before it connects again.
-const reconnectPause = 200 * time.Millisecond
+// silence is the kind of the clients that Options.IdleClients counts.
+const silence = "silence"
 
-// startIdleClients starts Options.IdleClients clients for each balancer. They run until the context is done.
-func (e *environment) startIdleClients(ctx context.Context) {
-	for _, target := range e.balancers {
-		for range e.opts.IdleClients {
-			go target.runIdleClient(ctx) // ends with the context
-		}
-	}
+// Crowd is a crowd of clients that misuse their connections, at each balancer.
+type Crowd struct {
+	Kind        string        // the name of one of load.CrowdKinds
+	Clients     int           // per balancer
+	From, Until time.Duration // times of the run; Until 0: its end
 }
 
-// runIdleClient keeps a silent connection to the balancer until the context is done. It connects and reconnects only
-// while the balancer is routed.
-func (b *balancer) runIdleClient(ctx context.Context) {
-	for ctx.Err() == nil {
-		if b.currentRouting() == routed {
-			b.holdIdleConnection(ctx)
+// startCrowds schedules Options.Crowds and starts Options.IdleClients. All end with the context.
+func (e *environment) startCrowds(ctx context.Context) {
+	crowds := e.opts.Crowds
+	if e.opts.IdleClients > 0 {
+		crowds = append([]Crowd{{Kind: silence, Clients: e.opts.IdleClients}}, crowds...)
+	}
+	for i, crowd := range crowds {
+		kind := load.NamedCrowdKind(crowd.Kind)
+		if kind == nil {
+			e.recordError(&UnknownCrowdError{Kind: crowd.Kind})
+			continue
+		}
+		for _, target := range e.balancers {
+			clients := &load.Crowd{
+				Kind:    kind,
+				Clients: crowd.Clients,
+				Pick:    target.pickForCrowd,
+				Seed:    (e.realization.Seed*maxBalancers+uint64(target.number))*maxCrowds + uint64(i),
+			}
+			e.at(ctx, crowd.From, func() { runCrowd(ctx, clients, crowd) })
 		}
-		sleep(ctx, reconnectPause)
 	}
 }
 
-// holdIdleConnection opens a connection and waits until the balancer closes it or the context is done.
-func (b *balancer) holdIdleConnection(ctx context.Context) {
-	var dialer net.Dialer
-	connection, err := dialer.DialContext(ctx, "tcp", b.address)
-	if err != nil {
-		return // the balancer restarts or accepts no more connections
+// maxCrowds keeps the seeds of crowds apart.
+const maxCrowds = 16
+
+// runCrowd plays a crowd that is due, until its end or that of the context.
+func runCrowd(ctx context.Context, clients *load.Crowd, crowd Crowd) {
+	if crowd.Until > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, crowd.Until-crowd.From)
+		defer stop()
 	}
-	defer context.AfterFunc(ctx, func() { _ = connection.Close() })()
-	var one [1]byte
-	_, _ = connection.Read(one[:]) // ends with the connection
-	_ = connection.Close()
+	clients.Run(ctx)
+}
+
+// pickForCrowd picks this balancer while it is routed. It implements load.PickBalancer.
+func (b *balancer) pickForCrowd(int, *rand.Rand) (picked load.Picked, ok bool) {
+	return load.Picked{Balancer: b.number, Address: b.address}, b.currentRouting() == routed
 }
--- /dev/null
+++ b/internal/lab/loadtest/crowd_test.go
@@ -0,0 +1,82 @@
+package loadtest
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// parallelCrowds limits the crowds that are played at the same time: each keeps more than one core busy.
+const parallelCrowds = 2
+
+// requiredService is the share of the requests that must be served while nothing is wrong with the servers.
+const requiredService = 0.9
+
+// besideCrowd describes a run of usual clients beside a crowd.
+type besideCrowd struct {
+	crowd      Crowd
+	memoryMB   int      // limit of the balancer
+	settings   []string // of the scenario
+	overloaded bool     // the crowd's requests are valid and more than the servers can serve
+}
+
+// play plays the run once one of the slots is free. The crowd comes after one second.
+func (b besideCrowd) play(t *testing.T, program string, slots chan struct{}) {
+	t.Helper()
+	slots <- struct{}{}
+	defer func() { <-slots }()
+	b.crowd.From = time.Second
+	realization := testRealization(t, "", append([]string{"length_s=6", "clients.retries=0"}, b.settings...)...)
+	report, err := Run(context.Background(), realization, Options{
+		Program: program, MemoryMB: b.memoryMB, Crowds: []Crowd{b.crowd},
+	})
+	require.NoError(t, err)
+	t.Logf("%+v, peak %.1f MB, lateness %.1f ms", report.Counts, report.PeakMB, report.LatenessMS)
+	if report.Void != "" {
+		t.Skip("void:", report.Void)
+	}
+	require.Zero(t, report.ViolationCount(), "%v", report.Violations)
+	if !b.overloaded {
+		require.GreaterOrEqual(t, float64(report.Counts.Served), requiredService*float64(report.Requests))
+	}
+}
+
+// The resident memory of a balancer must stay below its limit whatever hundreds of clients do, and others are served.
+func TestMemoryLimitHoldsBesideCrowd(t *testing.T) {
+	t.Parallel()
+	program := buildBalancer(t)
+	slots := make(chan struct{}, parallelCrowds)
+	for _, kind := range []string{
+		"silence", "half bodies", "half chunks", "slow bodies", "trickled bodies", "short fields", "complete bodies",
+	} {
+		for _, memoryMB := range []int{32, 48} {
+			t.Run(fmt.Sprintf("%s %d MB", kind, memoryMB), func(t *testing.T) {
+				t.Parallel()
+				besideCrowd{
+					crowd: Crowd{Kind: kind, Clients: 600}, memoryMB: memoryMB, overloaded: kind == "complete bodies",
+				}.play(t, program, slots)
+			})
+		}
+	}
+}
+
+// A few clients that send at full speed must not keep requests with little time from being served, nor fill the memory.
+func TestOthersAreServedInTimeBesideFloodingClients(t *testing.T) {
+	t.Parallel()
+	program := buildBalancer(t)
+	slots := make(chan struct{}, parallelCrowds)
+	for _, kind := range []string{
+		"long bodies", "empty lines", "tiny chunks", "pipelined requests", "unknown classes", "unread requests",
+	} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			besideCrowd{
+				crowd: Crowd{Kind: kind, Clients: 2}, memoryMB: 32,
+				settings: []string{"class.*.deadline_ms=300", "class.*.aim_ms=200"},
+			}.play(t, program, slots)
+		})
+	}
+}
--- a/internal/lab/loadtest/errors.go
+++ b/internal/lab/loadtest/errors.go
@@ -13,12 +13,19 @@
 	)
 	// ErrBalancerExited means that the current process of a balancer exited without being told to.
 	ErrBalancerExited = errors.New("ended by itself")
+	// ErrMemoryExceeded means that a process was killed because it passed the memory limit in its configuration.
+	ErrMemoryExceeded = errors.New("passed its memory limit")
 	// ErrBalancerNotStarted means that a balancer's process exited before it was ready.
 	ErrBalancerNotStarted = errors.New("did not start")
 	// ErrBalancerNotReady means that a balancer's process runs but was not ready after startPolls health checks.
 	ErrBalancerNotReady = errors.New("is not ready")
 )
 
+// UnknownCrowdError names a kind of crowd that does not exist.
+type UnknownCrowdError struct{ Kind string }
+
+func (e *UnknownCrowdError) Error() string { return fmt.Sprintf("unknown kind of crowd: %q", e.Kind) }
+
 // BalancerError is a failure of one balancer's process.
 type BalancerError struct {
 	Balancer int
--- a/internal/lab/loadtest/loadtest.go
+++ b/internal/lab/loadtest/loadtest.go
@@ -37,7 +37,8 @@
 	// SyscallFaults make system calls of each balancer process fail, on times since the start of that process. Each
 	// process draws from a seed of its own.
 	SyscallFaults syscallfault.Schedule
-	IdleClients   int // idle clients per balancer; they reconnect when a balancer closes their connection
+	IdleClients   int     // idle clients per balancer; they reconnect when a balancer closes their connection
+	Crowds        []Crowd // clients that misuse their connections
 	// KeepIdle is how long clients may reuse an idle connection; 0: the default of load.Clients.
 	KeepIdle time.Duration
 	LogDir   string // directory for configurations and logs; "": a temporary one that Run removes
@@ -111,9 +112,9 @@
 		MaxIdle:     e.opts.KeepIdle,
 	}
 	e.fleet.Play(ctx)
-	ctx, endIdleClients := context.WithCancel(ctx)
-	defer endIdleClients()
-	e.startIdleClients(ctx)
+	ctx, endCrowds := context.WithCancel(ctx)
+	defer endCrowds()
+	e.startCrowds(ctx)
 	e.scheduleScenarioFaults(ctx)
 	e.scheduleLinkAndProcessFaults(ctx)
 	e.scheduleHandovers(ctx)
--- a/internal/lab/loadtest/observer.go
+++ b/internal/lab/loadtest/observer.go
@@ -218,13 +218,16 @@
 	o.excused[balancer] = max(o.excused[balancer]-1, 0)
 }
 
-// AttemptReceived implements emulator.Observer. It returns the attempt number; -1 for an unknown request. The checker
-// does not get attempts within crossingTime after the request's end.
+// AttemptReceived implements emulator.Observer. It returns the attempt number; -1 for an unknown request, unless it is
+// of a crowd. The checker does not get attempts within crossingTime after the request's end.
 func (o *observer) AttemptReceived(id string, server int, timeout time.Duration) int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	sent := o.requests[id]
-	if sent == nil {
+	switch {
+	case sent == nil && load.IsCrowdID(id):
+		return 0
+	case sent == nil:
 		return -1
 	}
 	now := o.clock()
--- a/internal/lab/loadtest/report.go
+++ b/internal/lab/loadtest/report.go
@@ -25,6 +25,7 @@
 	Void         string      `json:"void,omitempty"`     // why the run does not count; "": it does
 	CPUPerAnswer float64     `json:"cpu_us_per_request"` // CPU microseconds of all balancers per client attempt
 	Balancers    [][]Quarter `json:"balancers"`
+	PeakMB       float64     `json:"peak_mb"` // highest resident memory of any process, in units of 2^20 bytes
 
 	DiscoveryCalls int `json:"list_calls"`
 	// SlowestNotification is the longest time that a balancer lacked a listed change while it could reach discovery.
@@ -71,6 +72,7 @@
 	}
 	report.SyscallFaults = make([]int, len(e.opts.SyscallFaults.Faults))
 	for _, balancer := range e.balancers {
+		report.PeakMB = max(report.PeakMB, balancer.peakResidentMB())
 		if err := balancer.crashError(); err != nil {
 			e.recordError(err)
 		}
--- a/internal/lab/loadtest/usage.go
+++ b/internal/lab/loadtest/usage.go
@@ -10,6 +10,9 @@
 // sampleInterval is the time between two samples of the balancers' resource usage.
 const sampleInterval = 500 * time.Millisecond
 
+// memoryCheckInterval is the time between two looks at whether a process has passed its memory limit.
+const memoryCheckInterval = 20 * time.Millisecond
+
 // clockTick is the unit of CPU time in /proc (USER_HZ), a constant of Linux's user space interface.
 const clockTick = 10 * time.Millisecond
 
@@ -103,3 +106,47 @@
 	pages, _ := strconv.Atoi(fields[1])
 	return float64(pages*os.Getpagesize()) / (1 << 20)
 }
+
+// enforceMemoryLimit kills a process that has passed the balancer's memory limit, as the platform does. It returns
+// when the process has exited.
+func (b *balancer) enforceMemoryLimit(started *process) {
+	status := "/proc/" + strconv.Itoa(started.cmd.Process.Pid) + "/status"
+	tick := time.NewTicker(memoryCheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-started.exited:
+			return
+		case <-tick.C:
+		}
+		peak := readPeakMB(status)
+		b.mu.Lock()
+		started.peakMB = max(started.peakMB, peak)
+		b.peakMB = max(b.peakMB, peak)
+		b.mu.Unlock()
+		if peak > float64(b.memoryMB) {
+			_ = started.cmd.Process.Kill() // fails only if the process has exited
+			return
+		}
+	}
+}
+
+// peakResidentMB returns the highest resident memory of any process of the balancer, in units of 2^20 bytes.
+func (b *balancer) peakResidentMB() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peakMB
+}
+
+// readPeakMB returns the highest resident memory so far in a /proc status file, in units of 2^20 bytes; 0 if
+// unreadable.
+func readPeakMB(name string) float64 {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "\nVmHWM:")
+	line, _, _ := strings.Cut(rest, "\n")
+	kilobytes, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(line), "kB")))
+	return float64(kilobytes) / (1 << 10)
+}
