Parse each byte once, and reject a request that begins with many empty lines

Cause: the parser removed each element by moving the rest of its buffer to the front. A read of 16 KiB of empty lines moved 64 MB, one of tiny chunks 37 MB. Empty lines before a request were skipped without end, so that such a client was never turned away. Class of bug: work quadratic in what a peer sends.

Change: the buffer keeps an offset of what is parsed; bodies go to the message as they arrive, in memory that grows with them, and are not copied once more.

Related paths: the same parser reads responses (1xx in a row) and discovery.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -127,20 +127,43 @@
 // parseBody returns the message once its body is complete. A body that lasts until the close is
 // completed by End instead.
 func (p *Parser) parseBody() (*Message, *Error) {
-	if p.framing == framingUntilClose {
-		if len(p.buffer) > p.maxBody {
-			return nil, bodyTooLarge()
-		}
-		return nil, nil
-	}
-	if len(p.buffer) < p.remaining {
+	p.receiveUnparsed()
+	switch {
+	case p.framing == framingUntilClose && len(p.message.Body) > p.maxBody:
+		return nil, bodyTooLarge()
+	case p.framing == framingUntilClose || p.remaining > 0:
 		return nil, nil
 	}
-	p.message.Body = append([]byte(nil), p.buffer[:p.remaining]...)
-	p.consume(p.remaining)
 	return p.finish(), nil
 }
 
+// receiveUnparsed moves what has arrived of the body from the buffer to the message.
+func (p *Parser) receiveUnparsed() { p.consume(p.receiveBody(p.unparsed())) }
+
+// receiveBody appends to the message's body what belongs to it, and returns the number of those bytes. Of a body that
+// lasts until the close, no more is kept than shows that it is too long.
+func (p *Parser) receiveBody(data []byte) int {
+	if p.framing == framingUntilClose {
+		kept := min(len(data), p.maxBody+1-len(p.message.Body))
+		p.appendBody(data[:kept], p.maxBody+1)
+		return len(data)
+	}
+	size := min(len(data), p.remaining)
+	p.remaining -= size
+	p.appendBody(data[:size], len(p.message.Body)+size+p.remaining)
+	return size
+}
+
+// appendBody appends to the message's body, which becomes maxLength bytes long at most. Its capacity doubles, but is
+// never larger than that: most bodies come whole, and those that do not shall not occupy memory before.
+func (p *Parser) appendBody(data []byte, maxLength int) {
+	body := p.message.Body
+	if needed := len(body) + len(data); needed > cap(body) {
+		p.message.Body = append(make([]byte, 0, min(max(2*cap(body), needed), maxLength)), body...)
+	}
+	p.message.Body = append(p.message.Body, data...)
+}
+
 // parseChunkSize parses the line before a chunk, and reports whether the line was complete.
 func (p *Parser) parseChunkSize() (complete bool, err *Error) {
 	line, err := p.line(maxChunkLine, "chunk size line too long")
@@ -175,16 +198,22 @@
 	return int(number), err == nil
 }
 
-// parseChunk adds a chunk to the body if it is complete, and reports whether it was.
+// parseChunk adds what has arrived of a chunk to the body, and reports whether the chunk and its end were complete.
 func (p *Parser) parseChunk() (complete bool, err *Error) {
-	if len(p.buffer) < p.remaining+2 {
+	if p.remaining > 0 {
+		size := min(len(p.unparsed()), p.remaining)
+		p.remaining -= size
+		p.appendBody(p.unparsed()[:size], p.maxBody)
+		p.consume(size)
+	}
+	end := p.unparsed()
+	if p.remaining > 0 || len(end) < 2 {
 		return false, nil
 	}
-	if p.buffer[p.remaining] != '\r' || p.buffer[p.remaining+1] != '\n' {
+	if end[0] != '\r' || end[1] != '\n' {
 		return false, badRequest("chunk without its end")
 	}
-	p.message.Body = append(p.message.Body, p.buffer[:p.remaining]...)
-	p.consume(p.remaining + 2)
+	p.consume(2)
 	p.state = stateChunkSize
 	return true, nil
 }
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -9,16 +9,24 @@
 // headEnd is the end of the last header line followed by the empty line.
 const headEnd = "\r\n\r\n"
 
+// Reasons for which a head is rejected, whether complete or not.
+const (
+	reasonHeadTooLarge  = "header too large"
+	reasonTooManyFields = "too many header fields"
+)
+
 // parseHead parses the start line and the header fields if they are complete, and reports whether
 // they were.
 func (p *Parser) parseHead() (complete bool, err *Error) {
-	p.skipEmptyLines()
+	if err := p.skipEmptyLines(); err != nil {
+		return false, err
+	}
 	text, complete, err := p.takeHead()
 	if err != nil || !complete {
 		return false, err
 	}
 	startLine, fieldLines, _ := strings.Cut(text, "\r\n")
-	message := &Message{}
+	message := &Message{headSize: len(text)}
 	minorVersion, err := p.parseStartLine(message, startLine)
 	if err != nil {
 		return false, err
@@ -33,35 +41,52 @@
 	return true, p.startBody(message, minorVersion)
 }
 
-// skipEmptyLines drops empty lines before a request, as RFC 9112 asks of servers.
-func (p *Parser) skipEmptyLines() {
-	for !p.responses && bytes.HasPrefix(p.buffer, []byte("\r\n")) {
+// skipEmptyLines drops up to maxEmptyLines empty lines before a request, as RFC 9112 asks of servers.
+func (p *Parser) skipEmptyLines() *Error {
+	for !p.responses && bytes.HasPrefix(p.unparsed(), []byte("\r\n")) {
+		if p.emptyLines == maxEmptyLines {
+			return badRequest("empty lines in place of a request")
+		}
+		p.emptyLines++
 		p.consume(2)
-		p.searched = 0
+		p.searched, p.searchedLines = 0, 0
 	}
+	return nil
 }
 
 // takeHead consumes the head and returns it without headEnd, if it is complete.
 func (p *Parser) takeHead() (text string, complete bool, err *Error) {
+	unparsed := p.unparsed()
 	from := max(p.searched-(len(headEnd)-1), 0) // headEnd may straddle the end of the searched prefix
-	end := bytes.Index(p.buffer[from:], []byte(headEnd))
+	end := bytes.Index(unparsed[from:], []byte(headEnd))
 	if end < 0 {
-		p.searched = len(p.buffer)
-		if len(p.buffer) > MaxHead {
-			return "", false, fieldsTooLarge("header too large")
-		}
-		return "", false, nil
+		return "", false, p.checkIncompleteHead()
 	}
 	end += from
 	if end > MaxHead {
-		return "", false, fieldsTooLarge("header too large")
+		return "", false, fieldsTooLarge(reasonHeadTooLarge)
 	}
-	text = string(p.buffer[:end])
+	text = string(unparsed[:end])
 	p.consume(end + len(headEnd))
-	p.searched = 0
+	p.searched, p.searchedLines = 0, 0
 	return text, true, nil
 }
 
+// checkIncompleteHead records that the unparsed bytes do not contain headEnd, and returns an error if the head is
+// already too large or has too many lines.
+func (p *Parser) checkIncompleteHead() *Error {
+	unparsed := p.unparsed()
+	p.searchedLines += bytes.Count(unparsed[p.searched:], []byte("\n"))
+	p.searched = len(unparsed)
+	switch {
+	case len(unparsed) >= MaxHead+len(headEnd):
+		return fieldsTooLarge(reasonHeadTooLarge)
+	case !p.responses && p.searchedLines > 1+MaxFields: // in a response, fields with an invalid value do not count
+		return fieldsTooLarge(reasonTooManyFields)
+	}
+	return nil
+}
+
 func (p *Parser) parseStartLine(message *Message, line string) (minorVersion int, err *Error) {
 	if p.responses {
 		return parseStatusLine(message, line)
@@ -128,7 +153,7 @@
 			return nil, badRequest("malformed header value")
 		}
 		if len(fields) == MaxFields {
-			return nil, fieldsTooLarge("too many header fields")
+			return nil, fieldsTooLarge(reasonTooManyFields)
 		}
 		fields = append(fields, Field{Name: strings.ToLower(name), Value: value})
 	}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -1,6 +1,9 @@
 package http1
 
-import "strings"
+import (
+	"strings"
+	"unsafe"
+)
 
 // Limits on one message from a peer, in bytes except MaxFields.
 const (
@@ -51,6 +54,14 @@
 	Body   []byte
 	Close  bool // the sender closes the connection after this message
 	Sized  bool // it has a Content-Length or is chunked
+
+	headSize int // bytes of the head, which Method, Target and Fields are parts of
+}
+
+// Size returns the number of bytes that the message occupies in memory.
+func (m *Message) Size() int {
+	const fieldSize = int(unsafe.Sizeof(Field{}))
+	return m.headSize + cap(m.Fields)*fieldSize + cap(m.Body)
 }
 
 // Path returns the target without its query.
--- a/internal/http1/parser_test.go
+++ b/internal/http1/parser_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -76,6 +77,8 @@
 		post + "Content-Length: 65537\r\n\r\n":                             413,
 		post + "A: " + strings.Repeat("a", MaxHead) + "\r\n\r\n":           431,
 		post + strings.Repeat("a: b\r\n", MaxFields) + "\r\n":              431,
+		post + strings.Repeat("a: b\r\n", MaxFields+1):                     431, // before the end of the head
+		strings.Repeat("\r\n", maxEmptyLines+1):                            400,
 		"GET / HTTP/1.1\r\n\r\n":                                           400,
 		"GET  / HTTP/1.1\r\nHost: h\r\n\r\n":                               400,
 		"GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n":                        400,
@@ -90,6 +93,50 @@
 	}
 }
 
+// Elements as long as their limits must be accepted however they are split, and longer ones rejected.
+func TestLimitsDoNotDependOnPieces(t *testing.T) {
+	const start, chunked = "POST / HTTP/1.1\r\nHost: h\r\n", "Transfer-Encoding: chunked\r\n\r\n"
+	head := func(size int) string { return start + "A: " + strings.Repeat("a", size-len(start+"A: ")) + headEnd }
+	chunkLine := func(size int) string { return start + chunked + "0;" + strings.Repeat("e", size-2) + headEnd }
+	body := func(size int) string {
+		return start + "Content-Length: " + strconv.Itoa(size) + headEnd + strings.Repeat("b", size)
+	}
+	emptyLines := func(count int) string { return strings.Repeat("\r\n", count) + start + headEnd }
+	for name, test := range map[string]struct {
+		text  func(size int) string
+		limit int
+	}{
+		"head": {head, MaxHead}, "chunk line": {chunkLine, maxChunkLine}, "body": {body, MaxBody},
+		"empty lines": {emptyLines, maxEmptyLines},
+	} {
+		for _, size := range []int{1, 1000, 1 << 20} {
+			got, err := parseInPieces(NewRequestParser(), test.text(test.limit), size)
+			require.NoError(t, err, name)
+			require.Len(t, got, 1, name)
+			_, err = parseInPieces(NewRequestParser(), test.text(test.limit+1), size)
+			require.Error(t, err, name)
+		}
+	}
+}
+
+// An incomplete message must not occupy much more memory than its bytes.
+func TestHeldIsBoundedByReceivedBytes(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65536\r\n\r\n"
+	p := NewRequestParser()
+	p.Feed([]byte(head))
+	for received := 0; received < MaxBody; received += 100 {
+		message, err := p.Next()
+		require.NoError(t, err)
+		require.Nil(t, message)
+		require.LessOrEqual(t, p.Held(), 2*(received+len(head))+maxRetainedBuffer)
+		p.Feed(make([]byte, 100))
+	}
+	p.Discard()
+	require.Zero(t, p.Held())
+	p.Feed(make([]byte, MaxBody))
+	require.Zero(t, p.Held())
+}
+
 // FuzzParser checks that neither parser panics, that the result does not depend on how the input is
 // split, and that no body exceeds MaxBody.
 func FuzzParser(f *testing.F) {
