Bound the mailbox by the buffers that it holds, not by their bytes

Cause: data from the poller waits in pooled buffers, which had grown to 16 KiB for large reads and then held pieces of one byte; only the bytes counted toward the bound of 256 KiB.

Change: buffers of two sizes, counted by their capacity; nbio's allocator with size classes of powers of two.

--- a/internal/serve/eventloop/loop.go
+++ b/internal/serve/eventloop/loop.go
@@ -11,6 +11,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 )
 
 // ReservedDescriptors is the number of descriptors that the limit on connections leaves free: for
@@ -65,6 +66,7 @@
 		readBuffer:  make([]byte, readSize),
 		engine: nbio.NewEngine(nbio.Config{
 			Name: "piernotch", NPoller: 1, ReadBufferSize: readSize, MaxWriteBufferSize: maxWriteBuffer,
+			BodyAllocator: mempool.NewAligned(), // buffers of unsent data are hardly larger than the data
 		}),
 	}
 	loop.mailbox.init()
--- a/internal/serve/eventloop/mailbox.go
+++ b/internal/serve/eventloop/mailbox.go
@@ -6,9 +6,13 @@
 	"sync"
 )
 
-// maxPendingData limits the bytes of data that wait in the mailbox. Above it the poller waits,
-// which applies backpressure to all peers: a few fast senders must not fill the memory.
-const maxPendingData = 256 << 10
+const (
+	// maxPendingData limits the bytes of the buffers that wait in the mailbox. Above it the poller waits,
+	// which applies backpressure to all peers: a few fast senders must not fill the memory.
+	maxPendingData = 256 << 10
+	// smallData is the capacity of a buffer for little data. Larger data gets a buffer of readSize.
+	smallData = 1 << 10
+)
 
 // message is an event for the owning goroutine: either a call or data from a connection.
 type message struct {
@@ -37,15 +41,25 @@
 	mu       sync.Mutex
 	taken    *sync.Cond // signaled when the owning goroutine has taken the messages
 	messages []message
-	dataSize int           // total bytes of data in messages
+	dataSize int           // total capacity of the buffers in messages
 	wake     chan struct{} // holds one token if there may be messages
-	buffers  sync.Pool     // of *[]byte, for message.data
+	small    sync.Pool     // of *[]byte with a capacity of smallData, for message.data
+	large    sync.Pool     // of *[]byte with a capacity of readSize
 }
 
 func (m *mailbox) init() {
 	m.taken = sync.NewCond(&m.mu)
 	m.wake = make(chan struct{}, 1)
-	m.buffers.New = func() any { b := make([]byte, 0, 1<<10); return &b }
+	m.small.New = func() any { b := make([]byte, 0, smallData); return &b }
+	m.large.New = func() any { b := make([]byte, 0, readSize); return &b }
+}
+
+// buffers returns the pool of buffers of a capacity, or of those that hold that much data.
+func (m *mailbox) buffers(size int) *sync.Pool {
+	if size <= smallData {
+		return &m.small
+	}
+	return &m.large
 }
 
 // post adds a message without blocking.
@@ -56,18 +70,19 @@
 	m.signal()
 }
 
-// postData adds a copy of data that was read on a connection, unless the connection discards its
-// input. It blocks while more than maxPendingData is pending. Only the poller may call it.
+// postData adds a copy of data that was read on a connection, at most readSize bytes, unless the
+// connection discards its input. It blocks while more than maxPendingData is pending. Only the
+// poller may call it.
 func (m *mailbox) postData(connection *Conn, data []byte) {
 	m.mu.Lock()
 	for m.dataSize > maxPendingData {
 		m.taken.Wait()
 	}
 	if !connection.discardInput.Load() {
-		buffer := m.buffers.Get().(*[]byte)
+		buffer := m.buffers(len(data)).Get().(*[]byte)
 		*buffer = append((*buffer)[:0], data...)
 		connection.unhandled.Add(1)
-		m.dataSize += len(data)
+		m.dataSize += cap(*buffer)
 		m.messages = append(m.messages, message{conn: connection, data: buffer})
 	}
 	m.mu.Unlock()
@@ -87,7 +102,7 @@
 }
 
 // release returns the buffer of a message to the pool once its data has been handled.
-func (m *mailbox) release(buffer *[]byte) { m.buffers.Put(buffer) }
+func (m *mailbox) release(buffer *[]byte) { m.buffers(cap(*buffer)).Put(buffer) }
 
 func (m *mailbox) signal() {
 	select {
