Keep a balancer's memory below its limit whatever its peers send

Cause: each connection was bounded, their sum was not: 744 clients may hold 64 KiB each, twice that while a body is copied. Go's limit is a soft one; below what is alive it only makes the collector run. Class of bug: a bound for each peer without one for all of them.

Change: package memory derives a plan from memory_mb, sockets and the number of servers: the Go runtime's limit, how many connections there may be, and two pools, one for requests and one for responses. A connection may hold 2 KiB without asking; what is beyond is charged to a pool, until the response is sent. When requests have used up their pool, the one that has come in most slowly is rejected with 503 (it was not passed on, so this is true), in the worst case the one that grew last. Unread responses give way by age; an attempt without memory for its response fails as one that may have run, one without memory for its unsent request as not sent. A closed request drops its body, though attempts of it run on. The largest endpoint list follows from the plan, too (4 MB before).

Requests up to 2 KiB are never touched.

--- a/internal/serve/core/endpoints.go
+++ b/internal/serve/core/endpoints.go
@@ -26,6 +26,9 @@
 // EndpointsKnown reports whether an endpoint update other than UpdateFailed has been received.
 func (c *Core) EndpointsKnown() bool { return c.endpointsKnown }
 
+// EndpointCount returns the number of endpoints that discovery lists.
+func (c *Core) EndpointCount() int { return len(c.serversByName) }
+
 // Endpoints returns all endpoints as discovery last listed them, sorted by name.
 func (c *Core) Endpoints() []DiscoveredEndpoint {
 	list := make([]DiscoveredEndpoint, 0, len(c.serversByName))
--- a/internal/serve/core/requests.go
+++ b/internal/serve/core/requests.go
@@ -18,7 +18,7 @@
 	clientID      string // the client's identifier of the request; may be empty
 	class         int
 	exchange      ExchangeID
-	message       *RequestMessage
+	message       *RequestMessage // nil once the request is closed: attempts that run on do not need it
 	deadline      time.Duration
 	attempts      []*attempt
 	inflight      int  // attempts that have not completed
@@ -138,6 +138,7 @@
 // started to execute.
 func (c *Core) close(request *request) {
 	request.closed = true
+	request.message = nil
 	request.deadlineTimer.Stop()
 	delete(c.exchanges, request.exchange)
 	delete(c.openClientIDs, request.clientID)
--- a/internal/serve/discovery/connection.go
+++ b/internal/serve/discovery/connection.go
@@ -11,13 +11,8 @@
 	"piernotch/internal/serve/eventloop"
 )
 
-const (
-	// listPath is the path of a poll's request to the discovery service.
-	listPath = "/catalog/members"
-
-	// maxListSize is the size limit of an endpoint list, in bytes.
-	maxListSize = 4 << 20
-)
+// listPath is the path of a poll's request to the discovery service.
+const listPath = "/catalog/members"
 
 // connection is a connection to the discovery service. It implements eventloop.Handler, whose
 // methods ignore all events once the watcher has dropped the connection.
--- a/internal/serve/discovery/watcher.go
+++ b/internal/serve/discovery/watcher.go
@@ -68,6 +68,7 @@
 	address string
 	zones   []string
 
+	maxListSize  int    // of a complete list or a change, in bytes
 	version      uint64 // generation of the last known list
 	needsReset   bool   // the known version cannot be continued, so the next poll requests the complete list
 	restarts     bool   // a failed watch restarts by itself; otherwise the balancer calls Watch
@@ -95,6 +96,8 @@
 	Address string               // of the discovery service
 	Zones   []string             // see Parse
 	Version uint64               // generation of the known list; 0: none
+
+	MaxListSize int // see SetMaxListSize
 }
 
 // New returns a Watcher that does not poll until Watch, WatchWithRestarts or Move is called.
@@ -106,10 +109,14 @@
 		address:     options.Address,
 		zones:       options.Zones,
 		version:     options.Version,
+		maxListSize: options.MaxListSize,
 		respondedAt: options.Now(),
 	}
 }
 
+// SetMaxListSize sets the largest endpoint list that is accepted, in bytes. It applies to new connections.
+func (w *Watcher) SetMaxListSize(bytes int) { w.maxListSize = bytes }
+
 // Version returns the generation of the last known list.
 func (w *Watcher) Version() uint64 { return w.version }
 
@@ -231,7 +238,7 @@
 
 // dial opens a connection and sends the poll on it.
 func (w *Watcher) dial() {
-	dialed := &connection{watcher: w, parser: http1.NewResponseParser(maxListSize)}
+	dialed := &connection{watcher: w, parser: http1.NewResponseParser(w.maxListSize)}
 	epoch := w.epoch
 	opened := func(socket *eventloop.Conn) eventloop.Handler {
 		dialed.socket = socket
--- a/internal/serve/discovery/watcher_test.go
+++ b/internal/serve/discovery/watcher_test.go
@@ -37,6 +37,8 @@
 		Now:     f.Now,
 		Address: f.service.Addr().String(),
 		Version: 5,
+
+		MaxListSize: 1 << 20,
 	})
 	return f
 }
--- a/internal/serve/downstream/close_reason.go
+++ b/internal/serve/downstream/close_reason.go
@@ -14,6 +14,7 @@
 	closeIdleTooLong                       // no request came in time
 	closeIdleAtShutdown                    // idle at shutdown or drain
 	closeShed                              // descriptors were short
+	closeMemory                            // unread responses had used up their memory
 	closeReasonCount
 )
 
@@ -25,6 +26,7 @@
 	closeIdleTooLong:    "idle",
 	closeIdleAtShutdown: "idle at shutdown or drain",
 	closeShed:           "descriptors short",
+	closeMemory:         "response memory short",
 }
 
 // String returns the reason as it appears in the log.
--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -8,6 +8,7 @@
 	"piernotch/internal/http1"
 	"piernotch/internal/serve/core"
 	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/memory"
 )
 
 // connection is a client's connection. It implements eventloop.Handler, whose
@@ -22,6 +23,9 @@
 	closing            bool            // input is discarded; the sending side closes once all output is written
 	writeClosed        bool            // the sending side is closed; the client's side may still be open
 
+	requestMemory  memory.Account // for the request in progress, until it has its response
+	responseMemory memory.Account // for the unsent part of responses
+
 	// phaseStart is when the current phase began. A phase begins when the connection
 	// is accepted, when a request's first byte arrives, when a response is written, and
 	// when the sending side is closed.
@@ -51,10 +55,17 @@
 // Closed implements eventloop.Handler: the connection has ended, so a pending
 // request can no longer get a response.
 func (c *connection) Closed(error) {
-	delete(c.downstream.connections, c)
+	c.forget()
 	c.abandonExchange()
 }
 
+// forget removes an ended connection, and what it holds, from the Downstream.
+func (c *connection) forget() {
+	delete(c.downstream.connections, c)
+	c.requestMemory.SetHeld(0)
+	c.responseMemory.SetHeld(0)
+}
+
 // serveParsed serves the next request if it is complete, and rejects malformed input.
 // It sends 100 Continue to a client that waits for this status before it sends a body.
 func (c *connection) serveParsed() {
@@ -64,6 +75,9 @@
 			c.rejectMalformed(parseErrorStatus(err), err.Error())
 			return
 		}
+		if !c.chargeRequest(message) {
+			return
+		}
 		if message == nil {
 			if c.parser.ExpectsContinue() {
 				_ = c.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -140,14 +154,17 @@
 	delete(c.downstream.pending, c.exchange)
 	c.downstream.emit(core.ClientDisconnected{Exchange: c.exchange})
 	c.exchange = 0
+	c.requestMemory.SetHeld(0)
 }
 
-// startClose stops serving requests on the connection: further input is discarded,
-// and the sending side is closed once all output is written.
+// startClose stops serving requests on the connection: what has been received and further
+// input is discarded, and the sending side is closed once all output is written.
 func (c *connection) startClose(reason closeReason) {
 	c.recordClose(reason)
 	c.closing = true
 	c.socket.DiscardInput()
+	c.parser.Discard()
+	c.requestMemory.SetHeld(0)
 	c.closeWriteIfSent()
 }
 
@@ -167,7 +184,7 @@
 func (c *connection) closeNow(reason closeReason) {
 	c.recordClose(reason)
 	c.socket.Close()
-	delete(c.downstream.connections, c)
+	c.forget()
 	c.abandonExchange()
 }
 
--- a/internal/serve/downstream/downstream.go
+++ b/internal/serve/downstream/downstream.go
@@ -7,6 +7,7 @@
 	"piernotch/internal/http1"
 	"piernotch/internal/serve/core"
 	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/memory"
 )
 
 // Downstream holds all client connections. It must be used on the event loop's
@@ -16,6 +17,8 @@
 	now   func() time.Duration
 	ready func() bool
 
+	requestMemory, responseMemory *memory.Pool
+
 	routes   map[string][]core.Route // by class name
 	maxWaits []time.Duration         // longest time that a client may wait, by class index
 	tenants  []piernotch.Tenant
@@ -30,25 +33,45 @@
 	crowdedAbove  int // with more connections than this, crowdedIdleTimeout applies
 
 	// Counts since the start of the process, for the log.
-	closes      [closeReasonCount]int
-	badRequests int // malformed or incomplete
+	closes         [closeReasonCount]int
+	badRequests    int // malformed or incomplete
+	memoryRejected int // rejected because requests had used up their memory
+
+	memoryLogged time.Duration // when a shortage of memory was last logged; 0: never
 }
 
-// New returns a Downstream without connections. The Downstream calls emit with each
-// event, on the loop's owning goroutine. now is the core's clock. ready reports whether
-// requests can be served, for health checks of this process. maxDescriptors is the
-// configured limit on file descriptors.
-func New(emit func(core.Event), now func() time.Duration, ready func() bool, maxDescriptors int) *Downstream {
-	return &Downstream{
-		emit:         emit,
-		now:          now,
-		ready:        ready,
-		connections:  map[*connection]struct{}{},
-		pending:      map[core.ExchangeID]*connection{},
-		crowdedAbove: maxDescriptors / 4, // see crowdedIdleTimeout
+// Options configures a new Downstream. All fields are required.
+type Options struct {
+	Emit           func(core.Event)     // receives the events, on the loop's owning goroutine
+	Now            func() time.Duration // the core's clock
+	Ready          func() bool          // whether requests can be served, for health checks of this process
+	MaxDescriptors int                  // see SetMaxDescriptors
+	// RequestMemory is charged for requests until they have their response, ResponseMemory for responses that
+	// clients have not read. The Downstream sets the Reclaim of both.
+	RequestMemory, ResponseMemory *memory.Pool
+}
+
+// New returns a Downstream without connections.
+func New(options Options) *Downstream {
+	downstream := &Downstream{
+		emit:           options.Emit,
+		now:            options.Now,
+		ready:          options.Ready,
+		requestMemory:  options.RequestMemory,
+		responseMemory: options.ResponseMemory,
+		connections:    map[*connection]struct{}{},
+		pending:        map[core.ExchangeID]*connection{},
 	}
+	downstream.SetMaxDescriptors(options.MaxDescriptors)
+	options.RequestMemory.Reclaim = downstream.rejectSlowestRequest
+	options.ResponseMemory.Reclaim = downstream.closeSlowestReader
+	return downstream
 }
 
+// SetMaxDescriptors sets the limit on file descriptors. While clients hold more than a quarter of them,
+// crowdedIdleTimeout applies.
+func (d *Downstream) SetMaxDescriptors(limit int) { d.crowdedAbove = limit / 4 }
+
 // SetRoutes replaces the classes and tenants that requests may name. maxWaits holds the
 // longest time that a client may wait, by class index. tenants must be in the order
 // of the settings, because the core identifies a tenant by its index there.
@@ -75,10 +98,12 @@
 // Accepted registers a new connection and returns its handler.
 func (d *Downstream) Accepted(socket *eventloop.Conn) eventloop.Handler {
 	accepted := &connection{
-		downstream: d,
-		socket:     socket,
-		parser:     http1.NewRequestParser(),
-		phaseStart: d.now(),
+		downstream:     d,
+		socket:         socket,
+		parser:         http1.NewRequestParser(),
+		phaseStart:     d.now(),
+		requestMemory:  d.requestMemory.NewAccount(),
+		responseMemory: d.responseMemory.NewAccount(),
 	}
 	d.connections[accepted] = struct{}{}
 	return accepted
--- a/internal/serve/downstream/fixture_test.go
+++ b/internal/serve/downstream/fixture_test.go
@@ -13,6 +13,7 @@
 	"piernotch"
 	"piernotch/internal/serve/core"
 	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/memory"
 	"piernotch/internal/serve/servetest"
 )
 
@@ -23,8 +24,13 @@
 	listener   *eventloop.Listener
 	downstream *Downstream
 	accepted   chan *observedHandler
+
+	requestMemory, responseMemory memory.Pool
 }
 
+// testMemory is the limit of the pools of memory, unless a test sets another one.
+const testMemory = 16 << 20
+
 // observedHandler reports the size of the data that the wrapped Handler has handled.
 type observedHandler struct {
 	eventloop.Handler
@@ -40,7 +46,12 @@
 func newFixture(t *testing.T, maxDescriptors int) *fixture {
 	t.Helper()
 	f := &fixture{t: t, accepted: make(chan *observedHandler, 64), Loop: servetest.NewLoop(t)}
-	f.downstream = New(f.Emit, f.Now, func() bool { return true }, maxDescriptors)
+	f.requestMemory.SetLimit(testMemory)
+	f.responseMemory.SetLimit(testMemory)
+	f.downstream = New(Options{
+		Emit: f.Emit, Now: f.Now, Ready: func() bool { return true }, MaxDescriptors: maxDescriptors,
+		RequestMemory: &f.requestMemory, ResponseMemory: &f.responseMemory,
+	})
 	f.downstream.SetRoutes(
 		[]core.Route{{Name: "read", Idempotent: true}},
 		[]time.Duration{time.Minute},
--- a/internal/serve/downstream/request_test.go
+++ b/internal/serve/downstream/request_test.go
@@ -11,11 +11,19 @@
 	"piernotch"
 	"piernotch/internal/http1"
 	"piernotch/internal/serve/core"
+	"piernotch/internal/serve/memory"
 )
 
+// newDownstreamWithClock returns a Downstream whose events are dropped.
+func newDownstreamWithClock(now func() time.Duration) *Downstream {
+	return New(Options{
+		Emit: func(core.Event) {}, Now: now, Ready: func() bool { return true }, MaxDescriptors: 256,
+		RequestMemory: &memory.Pool{}, ResponseMemory: &memory.Pool{},
+	})
+}
+
 func newTestDownstream() *Downstream {
-	now := func() time.Duration { return time.Minute }
-	d := New(func(core.Event) {}, now, func() bool { return true }, 256)
+	d := newDownstreamWithClock(func() time.Duration { return time.Minute })
 	d.SetRoutes([]core.Route{
 		{Name: "read", Idempotent: true, Class: 0},
 		{Name: "write", Class: 1},
--- a/internal/serve/downstream/response.go
+++ b/internal/serve/downstream/response.go
@@ -96,9 +96,10 @@
 	c.respond(status, fields, []byte(text+"\n"))
 }
 
-// respond writes a response. If closeAfterResponse is set, the response announces the
-// close, and the connection starts to close.
+// respond writes the response to the request in progress. If closeAfterResponse is set, the
+// response announces the close, and the connection starts to close.
 func (c *connection) respond(status int, fields http1.Fields, body []byte) {
+	c.requestMemory.SetHeld(0)
 	if c.closeAfterResponse {
 		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
 	}
@@ -106,6 +107,9 @@
 	if c.socket.Write(http1.AppendResponse(nil, status, fields, body)) != nil {
 		return // the connection is gone; Closed will be called
 	}
+	if !c.chargeResponse() {
+		return
+	}
 	if c.closeAfterResponse {
 		c.startClose(closeLastResponse)
 	}
--- a/internal/serve/downstream/stall_test.go
+++ b/internal/serve/downstream/stall_test.go
@@ -5,14 +5,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"piernotch/internal/serve/core"
 )
 
 // A request that waited during a stall of the process must not count as new, or its response would come too late.
 func TestArrivalTimeAfterAStall(t *testing.T) {
 	now := time.Minute
-	d := New(func(core.Event) {}, func() time.Duration { return now }, func() bool { return true }, 256)
+	d := newDownstreamWithClock(func() time.Duration { return now })
 	require.Equal(t, now, d.arrivalTime())
 
 	d.Stalled(time.Second)
--- a/internal/serve/downstream/state_log.go
+++ b/internal/serve/downstream/state_log.go
@@ -47,6 +47,7 @@
 		"idle", counts[stateIdle],
 		"closing", counts[stateClosing],
 		"bad_requests", d.badRequests,
+		"memory_rejected", d.memoryRejected,
 		"closed_last_response", d.closes[closeLastResponse],
 		"closed_lingered", d.closes[closeLingered],
 		"closed_unread", d.closes[closeUnread],
@@ -54,5 +55,6 @@
 		"closed_idle", d.closes[closeIdleTooLong],
 		"closed_shutdown", d.closes[closeIdleAtShutdown],
 		"closed_shed", d.closes[closeShed],
+		"closed_memory", d.closes[closeMemory],
 	)
 }
--- a/internal/serve/downstream/timeouts.go
+++ b/internal/serve/downstream/timeouts.go
@@ -56,6 +56,7 @@
 		d.CloseIdle()
 	}
 	for c := range d.connections {
+		c.updateResponseMemory()
 		c.enforceTimeouts(now, idleLimit)
 	}
 }
--- a/internal/serve/runtime/balancer.go
+++ b/internal/serve/runtime/balancer.go
@@ -13,6 +13,7 @@
 	"piernotch/internal/serve/discovery"
 	"piernotch/internal/serve/downstream"
 	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/memory"
 	"piernotch/internal/serve/overrides"
 	"piernotch/internal/serve/upstream"
 )
@@ -46,7 +47,7 @@
 	adminListener *eventloop.Listener // nil: no admin address
 	siblings      siblingProcesses
 	recorder      *traceRecorder // nil: no trace
-	memory        memoryLog
+	memoryLog     memoryLog
 
 	clockStart  time.Time     // when New read the system clock
 	unixAtStart time.Duration // clockStart as Unix time
@@ -55,8 +56,10 @@
 	nextEvent int          // index of the first unhandled event
 	handling  bool         // the reducer is running
 
-	descriptorLimit int   // this process's share of the balancer's descriptors
-	memoryLimit     int64 // bytes that the Go runtime may use
+	descriptorShare int // this process's share of the balancer's descriptors
+	memoryPlan      memory.Plan
+	requestMemory   memory.Pool
+	responseMemory  memory.Pool
 
 	stopped       bool               // clients are never accepted again
 	exit          context.CancelFunc // ends Run
@@ -91,13 +94,22 @@
 		return nil, err
 	}
 	balancer.upstream = upstream.New(upstream.Options{
-		Loop:        balancer.loop,
-		Emit:        balancer.emit,
-		Now:         balancer.now,
-		KeepAlive:   cfg.KeepAlive,
-		DialTimeout: cfg.DialTimeout,
+		Loop:           balancer.loop,
+		Emit:           balancer.emit,
+		Now:            balancer.now,
+		KeepAlive:      cfg.KeepAlive,
+		DialTimeout:    cfg.DialTimeout,
+		RequestMemory:  &balancer.requestMemory,
+		ResponseMemory: &balancer.responseMemory,
+	})
+	balancer.downstream = downstream.New(downstream.Options{
+		Emit:           balancer.emit,
+		Now:            balancer.now,
+		Ready:          balancer.healthy,
+		MaxDescriptors: cfg.MaxDescriptors,
+		RequestMemory:  &balancer.requestMemory,
+		ResponseMemory: &balancer.responseMemory,
 	})
-	balancer.downstream = downstream.New(balancer.emit, balancer.now, balancer.healthy, cfg.MaxDescriptors)
 	balancer.setRoutes(balancer.core.Routes())
 	balancer.listener = balancer.loop.ClientListener(balancer.downstream.Accepted)
 	balancer.admin = admin.Server{Now: balancer.now, Ready: balancer.ready, Execute: balancer.executeAdminCommand}
@@ -220,6 +232,7 @@
 	now := b.now()
 	b.advanceWhenReady()
 	b.tickSiblings(now)
+	b.planMemory()
 	b.exitWhenDrained()
 	b.logPeriodically(now)
 }
--- a/internal/serve/runtime/totals.go
+++ b/internal/serve/runtime/totals.go
@@ -12,11 +12,11 @@
 		if b.totalsLogged > 0 {
 			b.logTotals("totals")
 			b.downstream.LogState()
-			b.memory.log()
+			b.memoryLog.log()
 		}
 		b.totalsLogged = now
 	}
-	b.memory.logIfGrown(now)
+	b.memoryLog.logIfGrown(now)
 	if now-b.stateLogged >= stateInterval {
 		b.stateLogged = now
 		b.core.LogState()
--- a/internal/serve/upstream/attempt.go
+++ b/internal/serve/upstream/attempt.go
@@ -19,7 +19,9 @@
 	ref         core.AttemptRef // zero for a health check
 	healthCheck bool
 	pool        *pool
-	request     *core.RequestMessage
+	request     *core.RequestMessage // nil once it is written, since the attempt may outlast its client
+	requestID   string
+	class       string // class of the request
 	digest      uint64 // see digestRequest
 	deadline    time.Duration
 	connection  *connection // nil: none is assigned
@@ -62,7 +64,7 @@
 func (u *Upstream) fail(attempt *attempt, cause *AttemptError) {
 	u.forget(attempt)
 	attempt.connection = nil
-	slog.Info("attempt failed", "id", attempt.request.ID, "attempt", int(attempt.ref.Number), "server", cause.Address,
+	slog.Info("attempt failed", "id", attempt.requestID, "attempt", int(attempt.ref.Number), "server", cause.Address,
 		"stage", cause.Stage, "connection", cause.Connection, "responses", cause.Responses,
 		"idle_ms", cause.IdleFor.Milliseconds(), "health_check", attempt.healthCheck, "err", cause.Err)
 	if attempt.healthCheck {
@@ -91,7 +93,7 @@
 	} else {
 		slog.Info(
 			"attempt unsuccessful",
-			"id", attempt.request.ID,
+			"id", attempt.requestID,
 			"attempt", int(attempt.ref.Number),
 			"server", endpoint.Address,
 			"status", response.Status,
--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -10,6 +10,7 @@
 
 	"piernotch/internal/http1"
 	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/memory"
 )
 
 // minDeadlineMs is sent as X-Deadline-Ms if less time is left. Without a deadline, a server would not stop working on
@@ -32,6 +33,9 @@
 	repeatDropped   bool // a second response to an earlier request came while the attempt's response was due
 	requestWritten  bool // the attempt's request was handed to the socket
 	responseStarted bool // part of a response has arrived
+
+	requestMemory  memory.Account // for the unsent part of the attempt's request
+	responseMemory memory.Account // for the attempt's incomplete response
 }
 
 // canCarry reports whether the connection may carry an attempt. Within repeatWindow after an equal request it may not:
@@ -58,8 +62,10 @@
 	remaining := max((c.attempt.deadline - now).Milliseconds(), minDeadlineMs)
 	fields = append(fields, http1.Field{Name: "X-Deadline-Ms", Value: strconv.FormatInt(remaining, 10)})
 	c.requestWritten = true
+	c.attempt.request = nil
 	// After an error the event loop calls Closed, which ends the attempt.
 	_ = c.socket.Write(http1.AppendRequest(nil, request.Method, request.Target, fields, request.Body))
+	c.chargeRequest()
 }
 
 // Data implements eventloop.Handler: it receives bytes from the server.
@@ -74,6 +80,9 @@
 	c.parser.Feed(data)
 	for c.attempt != nil { // more than one response if a second response to an earlier request comes first
 		response, err := c.parser.Next()
+		if err == nil && response == nil {
+			err = c.chargeResponse()
+		}
 		if err != nil {
 			c.fail(Malformed, err)
 			return
@@ -100,7 +109,7 @@
 		c.responseReceived(response, false)
 	default:
 		c.carried.add(digests, now)
-		distinct := c.pool.upstream.history.add(http1.FirstSegment(c.attempt.request.Target), digests)
+		distinct := c.pool.upstream.history.add(c.attempt.class, digests)
 		c.responseReceived(response, distinct)
 	}
 }
@@ -141,7 +150,7 @@
 func (c *connection) fail(stage Stage, err error) {
 	attempt := c.attempt
 	c.attempt = nil
-	c.socket.Close()
+	c.close()
 	c.pool.remove(c)
 	if attempt == nil {
 		return
@@ -166,12 +175,12 @@
 
 // logResponse logs a response and its connection. It also logs and counts data that directly follows the response.
 func (c *connection) logResponse(attempt *attempt, response *http1.Message) {
-	slog.Debug("server response", "id", attempt.request.ID, "attempt", int(attempt.ref.Number),
+	slog.Debug("server response", "id", attempt.requestID, "attempt", int(attempt.ref.Number),
 		"server", c.pool.endpoint.Address, "status", response.Status, "bytes", len(response.Body),
 		"connection", c.number, "responses", c.responses, "idle_ms", c.idleFor.Milliseconds())
 	if !c.parser.Idle() {
 		c.pool.upstream.UnsolicitedData++
-		slog.Info("data beyond the response", "id", attempt.request.ID, "server", c.pool.endpoint.Address,
+		slog.Info("data beyond the response", "id", attempt.requestID, "server", c.pool.endpoint.Address,
 			"connection", c.number)
 	}
 }
@@ -179,7 +188,7 @@
 // closeAndReplace closes a connection that is in none of its pool's lists, and
 // dials another if attempts wait for a connection.
 func (c *connection) closeAndReplace() {
-	c.socket.Close()
+	c.close()
 	c.pool.dialForWaiting()
 }
 
@@ -192,7 +201,8 @@
 	attempt.connection = nil
 	c.pool.upstream.forget(attempt)
 	c.responses++
-	c.lastRequestID = attempt.request.ID
+	c.releaseMemory()
+	c.lastRequestID = attempt.requestID
 	c.logResponse(attempt, response)
 	if distinct && c.reusableAfter(attempt, response) {
 		c.pool.settle(c)
--- a/internal/serve/upstream/health_check.go
+++ b/internal/serve/upstream/health_check.go
@@ -20,6 +20,7 @@
 		pool:        u.poolFor(effect.To),
 		deadline:    u.now() + core.HealthCheckTimeout,
 		request:     request,
+		class:       http1.FirstSegment(request.Target),
 		digest:      digestRequest(request),
 	}
 	u.healthChecks[check] = struct{}{}
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -89,6 +89,9 @@
 		number: p.upstream.ConnectionsOpened,
 		pool:   p,
 		parser: http1.NewResponseParser(http1.MaxBody),
+
+		requestMemory:  p.upstream.requestMemory.NewAccount(),
+		responseMemory: p.upstream.responseMemory.NewAccount(),
 	}
 	opened := func(socket *eventloop.Conn) eventloop.Handler {
 		connection.socket = socket
@@ -147,7 +150,7 @@
 		p.assign(connection, carried)
 		return
 	case p.draining:
-		connection.socket.Close()
+		connection.close()
 	default:
 		connection.lastActivity = now
 		p.idle = append(p.idle, connection)
@@ -159,7 +162,7 @@
 // if the pool is draining.
 func (p *pool) settle(connection *connection) {
 	if p.draining {
-		connection.socket.Close()
+		connection.close()
 		return
 	}
 	connection.lastActivity = p.upstream.now()
@@ -194,7 +197,7 @@
 // closeOldestIdle closes count connections: those that have been idle longest.
 func (p *pool) closeOldestIdle(count int) {
 	for _, connection := range p.idle[:count] {
-		connection.socket.Close()
+		connection.close()
 	}
 	p.idle = slices.Delete(p.idle, 0, count)
 }
@@ -210,7 +213,7 @@
 func (p *pool) closeFree() {
 	p.closeOldestIdle(len(p.idle))
 	for _, connection := range p.settling {
-		connection.socket.Close()
+		connection.close()
 	}
 	p.settling = nil
 	p.dialForWaiting()
--- a/internal/serve/upstream/pool_test.go
+++ b/internal/serve/upstream/pool_test.go
@@ -13,6 +13,7 @@
 	"piernotch"
 	"piernotch/internal/serve/core"
 	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/memory"
 )
 
 // More attempts wait for connections than may be dialed at once, and attempts that get a connection lose it again.
@@ -59,6 +60,8 @@
 		Now:         func() time.Duration { return time.Since(started) },
 		KeepAlive:   time.Minute,
 		DialTimeout: time.Second,
+
+		RequestMemory: &memory.Pool{}, ResponseMemory: &memory.Pool{},
 	})
 	loop.Post(func() {
 		for i := range attempts {
--- a/internal/serve/upstream/repeated_response.go
+++ b/internal/serve/upstream/repeated_response.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"piernotch/internal/http1"
 	"piernotch/internal/serve/core"
 )
 
@@ -23,10 +22,10 @@
 func (c *connection) dropRepeat(digests exchangeDigests) {
 	c.repeatDropped = true
 	c.responseStarted = !c.parser.Idle()
-	slog.Info("repeated response dropped", "id", c.attempt.request.ID, "server", c.pool.endpoint.Address,
+	slog.Info("repeated response dropped", "id", c.attempt.requestID, "server", c.pool.endpoint.Address,
 		"connection", c.number, "last_id", c.lastRequestID)
 	// It may be one that servers give to many requests after all.
-	c.pool.upstream.history.addCommon(http1.FirstSegment(c.attempt.request.Target), digests)
+	c.pool.upstream.history.addCommon(c.attempt.class, digests)
 	c.pool.upstream.repeatReceived(c.pool.endpoint, c.sinceLastResponse())
 }
 
--- a/internal/serve/upstream/timeouts_test.go
+++ b/internal/serve/upstream/timeouts_test.go
@@ -10,6 +10,7 @@
 
 	"piernotch"
 	"piernotch/internal/serve/core"
+	"piernotch/internal/serve/memory"
 	"piernotch/internal/serve/servetest"
 )
 
@@ -28,18 +29,27 @@
 	upstream *Upstream
 	server   net.Listener
 	attempts int
+
+	requestMemory, responseMemory memory.Pool
 }
 
+// testMemory is the limit of the pools of memory, unless a test sets another one.
+const testMemory = 16 << 20
+
 // newFixture starts an Upstream and a server, which run until the test ends.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, server: servetest.Listen(t), Loop: servetest.NewLoop(t)}
+	f.requestMemory.SetLimit(testMemory)
+	f.responseMemory.SetLimit(testMemory)
 	f.upstream = New(Options{
 		Loop:        f.Loop.Loop,
 		Emit:        f.Emit,
 		Now:         f.Now,
 		KeepAlive:   testKeepAlive,
 		DialTimeout: servetest.Timeout,
+
+		RequestMemory: &f.requestMemory, ResponseMemory: &f.responseMemory,
 	})
 	f.upstream.history.class("read").distinctInRow = distinctBeforeReuse // so that connections are reused
 	return f
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"strings"
 	"time"
 
+	"piernotch/internal/http1"
 	"piernotch/internal/serve/core"
 	"piernotch/internal/serve/eventloop"
+	"piernotch/internal/serve/memory"
 )
 
 // Upstream holds the connection pools of all endpoints. It must be used on the
@@ -21,6 +24,8 @@
 	history      responseHistory
 	singleUse    singleUse
 
+	requestMemory, responseMemory *memory.Pool
+
 	// ConnectionsOpened counts the dials so far, including failed ones. The count is logged. The number
 	// of a connection is the count at its dial.
 	ConnectionsOpened int
@@ -38,6 +43,8 @@
 	Now         func() time.Duration // the core's clock
 	KeepAlive   time.Duration        // see SetTimeouts
 	DialTimeout time.Duration        // see SetTimeouts
+	// RequestMemory is charged for the unsent part of requests, ResponseMemory for incomplete responses.
+	RequestMemory, ResponseMemory *memory.Pool
 }
 
 // New returns an Upstream without connections.
@@ -51,6 +58,9 @@
 		healthChecks: map[*attempt]struct{}{},
 		history:      newResponseHistory(),
 		singleUse:    singleUse{lateRepeats: map[core.Endpoint]time.Duration{}},
+
+		requestMemory:  options.RequestMemory,
+		responseMemory: options.ResponseMemory,
 	}
 	upstream.SetTimeouts(options.KeepAlive, options.DialTimeout)
 	return upstream
@@ -70,11 +80,13 @@
 // connection can be established.
 func (u *Upstream) StartAttempt(effect core.StartAttempt) {
 	attempt := &attempt{
-		ref:      effect.Ref,
-		pool:     u.poolFor(effect.To),
-		request:  effect.Message,
-		digest:   digestRequest(effect.Message),
-		deadline: u.now() + effect.Timeout,
+		ref:       effect.Ref,
+		pool:      u.poolFor(effect.To),
+		request:   effect.Message,
+		requestID: strings.Clone(effect.Message.ID),
+		class:     strings.Clone(http1.FirstSegment(effect.Message.Target)),
+		digest:    digestRequest(effect.Message),
+		deadline:  u.now() + effect.Timeout,
 	}
 	u.attempts[effect.Ref] = attempt
 	attempt.pool.acquire(attempt)
@@ -122,6 +134,7 @@
 func (u *Upstream) Tick() {
 	now := u.now()
 	u.endOverdueHealthChecks(now)
+	u.updateRequestMemory()
 	u.failStalledAttempts(now)
 	for endpoint, pool := range u.pools {
 		pool.releaseSettled(now)
