Let connects and accepts run while a crowd keeps the event loop busy

Cause: on the one thread of the process the poller and the event loop wake each other, and the scheduler lets the woken one run on. Go looks at the sockets of other goroutines only when nothing else can run, or every 10 ms, and then takes one of 61 turns from them. Connects that were up in the kernel at once were noticed after 0.3 s, over dial_timeout_ms: the servers were ejected, then taken for restarted and put in slow start. Class of bug: a time-out of this machine's own making taken for a statement about the peer.

Change: the event loop yields after each batch. Crowds in load tests reset their connections, or the machine runs out of ports (91,000 in TIME_WAIT made the harness itself late in trials).

--- a/internal/lab/load/crowd.go
+++ b/internal/lab/load/crowd.go
@@ -61,6 +61,9 @@
 		return
 	}
 	id := fmt.Sprintf("%s%x-%d", CrowdIDPrefix, c.Seed, c.connections.Add(1))
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // or the machine would run out of ports
+	}
 	defer context.AfterFunc(ctx, func() { _ = connection.Close() })()
 	defer func() { _ = connection.Close() }()
 	go c.Kind.misuse(connection, id) // ends at the latest when the connection is closed
--- a/internal/lab/loadtest/crowd_test.go
+++ b/internal/lab/loadtest/crowd_test.go
@@ -20,6 +20,7 @@
 	crowd      Crowd
 	memoryMB   int      // limit of the balancer
 	settings   []string // of the scenario
+	faults     string   // of the scenario
 	overloaded bool     // the crowd's requests are valid and more than the servers can serve
 }
 
@@ -29,7 +30,7 @@
 	slots <- struct{}{}
 	defer func() { <-slots }()
 	b.crowd.From = time.Second
-	realization := testRealization(t, "", append([]string{"length_s=6", "clients.retries=0"}, b.settings...)...)
+	realization := testRealization(t, b.faults, append([]string{"length_s=6", "clients.retries=0"}, b.settings...)...)
 	report, err := Run(context.Background(), realization, Options{
 		Program: program, MemoryMB: b.memoryMB, Crowds: []Crowd{b.crowd},
 	})
@@ -80,3 +81,22 @@
 		})
 	}
 }
+
+// Connects that a busy balancer notices late must not count as failures of its servers: it would eject them, and take
+// them for restarted.
+func TestServersStayInServiceBesideCrowd(t *testing.T) {
+	t.Parallel()
+	program := buildBalancer(t)
+	slots := make(chan struct{}, 1) // with a second one, the machine may be late as well
+	for _, kind := range []string{"slow bodies", "short fields"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			besideCrowd{
+				crowd: Crowd{Kind: kind, Clients: 800}, memoryMB: 32,
+				settings: []string{"traffic.rate_per_s=100"},
+				// Second responses make balancers use connections once, so that each attempt connects anew.
+				faults: "[[trouble]]\nkind = \"response_twice\"\nat_s = 0\nfor_s = 6\npart = 0.1\nsize = 20\n",
+			}.play(t, program, slots)
+		})
+	}
+}
--- a/internal/serve/eventloop/loop.go
+++ b/internal/serve/eventloop/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"runtime"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -138,6 +139,7 @@
 			prioritize(batch)
 		}
 		l.handle(batch)
+		runtime.Gosched() // or goroutines that connect and accept would wait while input never ends
 		if stalled {
 			guard(tick) // the clock advances after the messages that arrived before now
 		}
