Register connections in a batch of events that began after their descriptor was opened

Cause: nbio's poller looks the connection of an event up by descriptor number, event by event, and closes it if the event is the peer's close. Between the collection of a batch and the handling of an event the owning goroutine may close that connection, and the kernel gives the number to the next one: it was registered at once and took the event. Class of bug: an identity that is reused (a descriptor number) while messages about its former owner are still under way.

Change: the poller itself registers connections, when an eventfd that it watches wakes it, and only in a batch that began after the descriptor was opened. A batch that began then has no event of an earlier connection with that number. Handlers are set once a connection is registered.

--- a/internal/lab/loadtest/crowd_test.go
+++ b/internal/lab/loadtest/crowd_test.go
@@ -21,7 +21,8 @@
 	memoryMB   int      // limit of the balancer
 	settings   []string // of the scenario
 	faults     string   // of the scenario
-	overloaded bool     // the crowd's requests are valid and more than the servers can serve
+	overloaded bool     // the balancer or the servers have more to do than they can
+	keepIdle   time.Duration
 }
 
 // play plays the run once one of the slots is free. The crowd comes after one second.
@@ -32,7 +33,7 @@
 	b.crowd.From = time.Second
 	realization := testRealization(t, b.faults, append([]string{"length_s=6", "clients.retries=0"}, b.settings...)...)
 	report, err := Run(context.Background(), realization, Options{
-		Program: program, MemoryMB: b.memoryMB, Crowds: []Crowd{b.crowd},
+		Program: program, MemoryMB: b.memoryMB, Crowds: []Crowd{b.crowd}, KeepIdle: b.keepIdle,
 	})
 	require.NoError(t, err)
 	t.Logf("%+v, peak %.1f MB, lateness %.1f ms", report.Counts, report.PeakMB, report.LatenessMS)
@@ -82,6 +83,16 @@
 	}
 }
 
+// repeatedResponses makes balancers use connections to servers once, so that each attempt connects anew.
+const repeatedResponses = `
+[[trouble]]
+kind = "response_twice"
+at_s = 0
+for_s = 6
+part = 0.1
+size = 20
+`
+
 // Connects that a busy balancer notices late must not count as failures of its servers: it would eject them, and take
 // them for restarted.
 func TestServersStayInServiceBesideCrowd(t *testing.T) {
@@ -93,10 +104,17 @@
 			t.Parallel()
 			besideCrowd{
 				crowd: Crowd{Kind: kind, Clients: 800}, memoryMB: 32,
-				settings: []string{"traffic.rate_per_s=100"},
-				// Second responses make balancers use connections once, so that each attempt connects anew.
-				faults: "[[trouble]]\nkind = \"response_twice\"\nat_s = 0\nfor_s = 6\npart = 0.1\nsize = 20\n",
+				settings: []string{"traffic.rate_per_s=100"}, faults: repeatedResponses,
 			}.play(t, program, slots)
 		})
 	}
 }
+
+// Clients that open and close many connections must not end the connections of others.
+func TestConnectionsOfOthersStayOpenBesideCrowd(t *testing.T) {
+	t.Parallel()
+	besideCrowd{
+		crowd: Crowd{Kind: "half bodies", Clients: 800}, memoryMB: 32, overloaded: true, keepIdle: time.Millisecond,
+		settings: []string{"traffic.rate_per_s=100"}, faults: repeatedResponses,
+	}.play(t, buildBalancer(t), make(chan struct{}, 1))
+}
--- a/internal/serve/eventloop/connection.go
+++ b/internal/serve/eventloop/connection.go
@@ -157,13 +157,15 @@
 	c.handler.Data(data)
 }
 
-// reportClosed calls Handler.Closed, unless the connection is already closed.
+// reportClosed calls Handler.Closed, unless the connection is already closed or has no handler yet.
 func (c *Conn) reportClosed(err error) {
 	if c.closed {
 		return
 	}
 	c.closed = true
-	c.handler.Closed(err)
+	if c.handler != nil {
+		c.handler.Closed(err)
+	}
 }
 
 // release removes the connection from the count of open ones. Only the first call has an effect.
--- a/internal/serve/eventloop/dial.go
+++ b/internal/serve/eventloop/dial.go
@@ -53,20 +53,21 @@
 			return
 		}
 		connection := &Conn{openCount: &l.open, dialed: true}
-		l.Post(func() { // the handler is set on the owning goroutine before any byte is read
+		l.Post(func() {
 			if err := connection.takeOver(dialed); err != nil {
 				_ = dialed.Close()
 				connection.release()
 				done(nil, err)
 				return
 			}
-			connection.handler = newHandler(connection)
-			if err := l.register(connection); err != nil {
-				connection.closed = true
-				done(nil, err)
-				return
-			}
-			done(connection, nil)
+			l.register(connection, func(err error) {
+				if err != nil {
+					done(nil, err)
+					return
+				}
+				connection.handler = newHandler(connection)
+				done(connection, nil)
+			})
 		})
 	}()
 }
--- a/internal/serve/eventloop/listener.go
+++ b/internal/serve/eventloop/listener.go
@@ -201,9 +201,11 @@
 		connection.release()
 		return
 	}
-	connection.handler = l.newHandler(connection)
-	if err := l.loop.register(connection); err != nil {
-		slog.Warn("connection registration failed", "err", err)
-		connection.reportClosed(err)
-	}
+	l.loop.register(connection, func(err error) {
+		if err == nil {
+			connection.handler = l.newHandler(connection)
+		} else if !errors.Is(err, errPeerClosed) {
+			slog.Warn("connection registration failed", "err", err)
+		}
+	})
 }
--- a/internal/serve/eventloop/loop.go
+++ b/internal/serve/eventloop/loop.go
@@ -50,6 +50,7 @@
 	Stalled func(gap time.Duration)
 
 	engine          *nbio.Engine
+	registrar       *registrar
 	mailbox         mailbox
 	readBuffer      []byte       // used by the poller only
 	open            atomic.Int64 // connections open or being dialed, without those of admin listeners
@@ -60,7 +61,12 @@
 // not counting those of admin listeners. The engine's poller runs until the process ends.
 func New(descriptors int) (*Loop, error) {
 	prepareEngines(descriptors)
+	registrar, err := newRegistrar()
+	if err != nil {
+		return nil, err
+	}
 	loop := &Loop{
+		registrar:   registrar,
 		ShedClients: func() {},
 		ShedAll:     func() {},
 		Stalled:     func(time.Duration) {},
@@ -83,6 +89,9 @@
 	if err := loop.engine.Start(); err != nil {
 		return nil, fmt.Errorf("start of the socket engine: %w", err)
 	}
+	if err := registrar.watch(loop.engine); err != nil {
+		return nil, fmt.Errorf("poller: %w", err)
+	}
 	return loop, nil
 }
 
--- a/internal/serve/eventloop/poller.go
+++ b/internal/serve/eventloop/poller.go
@@ -32,19 +32,27 @@
 	return nil
 }
 
-// register passes a connection to the poller. It must be called on the owning goroutine, after the connection has
-// taken over a socket and its handler has been set.
-func (l *Loop) register(connection *Conn) error {
+// register passes a connection that has taken over a socket to the poller. Then it calls registered on the owning
+// goroutine, before any event of the connection: that sets the handler, unless there is an error.
+func (l *Loop) register(connection *Conn, registered func(error)) {
 	socket := connection.socket
 	socket.SetSession(connection)
 	if err := socket.SetNoDelay(true); err != nil {
 		slog.Debug("no TCP_NODELAY", "err", err)
 	}
-	if _, err := l.engine.AddConn(socket); err != nil {
-		connection.release() // nbio has closed the connection, but does not always report that
-		return err
-	}
-	return nil
+	l.registrar.add(func() {
+		_, err := l.engine.AddConn(socket)
+		l.Post(func() {
+			if err == nil && connection.closed { // a close is handled first after a stall
+				err = errPeerClosed
+			}
+			if err != nil {
+				connection.closed = true
+				connection.release() // nbio has closed the connection, but does not always report that
+			}
+			registered(err)
+		})
+	})
 }
 
 // read reads the available input of a connection. The poller calls it in place of nbio's own
@@ -55,6 +63,10 @@
 // sends too much. A client's connection is read at most maxClientReads times before others get
 // their turn.
 func (l *Loop) read(socket *nbio.Conn) {
+	if registrar, woken := socket.Session().(*registrar); woken {
+		registrar.run()
+		return
+	}
 	connection := socket.Session().(*Conn)
 	l.mailbox.mu.Lock()         // makes the fields of a new connection visible to the poller
 	connection.unhandled.Add(1) // data being read is neither in the kernel nor in the mailbox
