Forward no request that has more behind it, unread

Cause: before a request is forwarded, the balancer looks whether its client has closed. It did so by looking at the next byte of input, and took any byte for a client that is still there: the close was behind it. The bytes behind a request, which end the exchange with 400, were only seen when the poller had read them, and on a kept connection the attempt was written by then.

Change: bytes behind a request, in the kernel or in the mailbox, end the exchange before the request is forwarded. Related paths: idle connections to servers are looked at the same way before use (InputEmpty), and were right.

--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -113,7 +113,7 @@
 }
 
 // serve responds to a health check or an invalid request. It passes any other request
-// to the core, unless the client has disconnected.
+// to the core, unless the client has disconnected or sent more behind it.
 func (c *connection) serve(message *http1.Message) {
 	if message.Path() == healthPath {
 		c.serveHealth(message)
@@ -125,7 +125,11 @@
 		c.respondInvalid(invalid)
 		return
 	}
-	if c.socket.PeerClosed() { // the client has disconnected and cannot get a response
+	switch c.socket.InputState() {
+	case eventloop.InputEnded: // the client has disconnected and cannot get a response
+		return
+	case eventloop.InputWaits: // and the client's close may be behind it
+		c.rejectMalformed(http1.StatusBadRequest, reasonTrailingBytes)
 		return
 	}
 	downstream.lastExchange++
--- a/internal/serve/eventloop/connection.go
+++ b/internal/serve/eventloop/connection.go
@@ -37,9 +37,10 @@
 
 	writtenBytes atomic.Int64 // total that the kernel has accepted
 	unhandled    atomic.Int32 // reads in progress, and pieces of data that the handler has not received yet
+	queued       atomic.Int32 // of these, the pieces of data
 	discardInput atomic.Bool  // further input is discarded
 	prioritized  atomic.Bool  // its data is handled first after a stall
-	peerClosed   atomic.Bool  // see PeerClosed
+	peerClosed   atomic.Bool  // the poller has seen the end of the connection
 }
 
 // Write sends data; what the kernel does not accept at once is queued and sent later. An error
@@ -59,20 +60,39 @@
 // DiscardInput makes the loop discard all further input when it is read.
 func (c *Conn) DiscardInput() { c.discardInput.Store(true) }
 
-// PeerClosed reports whether the peer has closed or broken the connection, even if Handler.Closed
-// has not been called yet or the poller has not read the close. After Close it may be true, too.
-func (c *Conn) PeerClosed() bool {
-	if c.peerClosed.Load() {
-		return true
+// InputState says what is behind the input that the handler has received.
+type InputState uint8
+
+// The states of a connection's input.
+const (
+	InputNone  InputState = iota // nothing yet
+	InputWaits                   // more input, and possibly the peer's close behind it
+	InputEnded                   // the peer has closed or broken the connection, or Close was called
+)
+
+// InputState returns the state of the input, even if Handler.Closed has not been called yet or the
+// poller has not read the input or the close.
+func (c *Conn) InputState() InputState {
+	switch {
+	case c.peerClosed.Load():
+		return InputEnded
+	case c.queued.Load() > 0:
+		return InputWaits
 	}
-	closed := false
+	state := InputEnded
 	valid := c.useDescriptor(func(fd int) {
 		size, err := peek(fd)
-		inputEnded := err == nil && size == 0
-		broken := err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-		closed = inputEnded || broken
+		switch {
+		case err == nil && size > 0:
+			state = InputWaits
+		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+			state = InputNone
+		}
 	})
-	return closed || !valid
+	if !valid {
+		return InputEnded
+	}
+	return state
 }
 
 // InputEmpty reports whether the connection is open and no input waits to be handled: neither in
--- a/internal/serve/eventloop/loop.go
+++ b/internal/serve/eventloop/loop.go
@@ -164,6 +164,7 @@
 			guard(next.call)
 		} else {
 			next.conn.unhandled.Add(-1)
+			next.conn.queued.Add(-1)
 			next.conn.deliver(*next.data)
 			l.mailbox.release(next.data)
 		}
--- a/internal/serve/eventloop/mailbox.go
+++ b/internal/serve/eventloop/mailbox.go
@@ -82,6 +82,7 @@
 		buffer := m.buffers(len(data)).Get().(*[]byte)
 		*buffer = append((*buffer)[:0], data...)
 		connection.unhandled.Add(1)
+		connection.queued.Add(1)
 		m.dataSize += cap(*buffer)
 		m.messages = append(m.messages, message{conn: connection, data: buffer})
 	}
--- a/internal/serve/eventloop/registration_test.go
+++ b/internal/serve/eventloop/registration_test.go
@@ -102,7 +102,7 @@
 		eventually(func() bool { return first.conn.unhandled.Load() == 1 })
 		sendByte(first.peer)
 		require.NoError(t, closed.peer.Close())
-		eventually(closed.conn.PeerClosed)
+		eventually(func() bool { return closed.conn.InputState() == InputEnded })
 		l.mailbox.setPending(maxPendingData)
 		eventually(func() bool {
 			_, err := peek(descriptor(first.conn))
--- a/internal/serve/runtime/client_disconnect_test.go
+++ b/internal/serve/runtime/client_disconnect_test.go
@@ -158,3 +158,27 @@
 func connectionLost(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
+
+// A client sends a request with much behind it and leaves, while the process has not read all of it. The request must
+// not be forwarded: its client is gone.
+func TestRequestOfAClientThatLeftWithMuchUnreadIsNotForwarded(t *testing.T) {
+	var forwarded requestLog
+	balancer, _ := startBalancer(t, startIdleDiscovery(t), startPeer(t, forwarded.serveEcho))
+	for i := range 8 { // until a connection to the server is kept, on which the request could be written at once
+		id := fmt.Sprint("warm-up-", i)
+		connect(t, balancer).request("POST", "/append", id, id)
+	}
+	time.Sleep(50 * time.Millisecond)
+	c := connect(t, balancer)
+	resume := pauseLoop(balancer)
+	c.send("GET /read HTTP/1.1\r\nHost: b\r\nX-Request-Id: left\r\n\r\n")
+	time.Sleep(20 * time.Millisecond) // the request is read alone
+	c.send(strings.Repeat("x", 1<<20))
+	_ = c.Close()
+	time.Sleep(150 * time.Millisecond)
+	resume()
+	_, body := connect(t, balancer).request("POST", "/append", "stays", "mine")
+	require.Equal(t, "mine", body)
+	time.Sleep(100 * time.Millisecond)
+	require.Zero(t, forwarded.count("left"))
+}
