Do not run a request again whose client has left and that may have run

Cause: an ID was known only while its request was open. When the client left, the ID was forgotten at once, though an attempt had been written. Class of bug: what may have happened is forgotten together with the one who asked for it.

A request of a class that is not idempotent with such an ID gets 409 and is not forwarded. IDs of answered requests are not remembered: clients give each retry a new one, and send an ID again only where a close crossed their request. Related paths: a retry within the balancer has its own record of what may have run, and is unchanged.

--- a/internal/serve/core/attempts.go
+++ b/internal/serve/core/attempts.go
@@ -134,6 +134,7 @@
 			"elapsed_ms", (c.now - attempt.startedAt).Milliseconds(),
 		)
 	}
+	request.mayHaveRun = request.mayHaveRun || attempt.written && !status.NeverExecuted()
 	c.Counts.countAttempt(status)
 	if status != piernotch.Cancelled {
 		request.lastStatus = status
--- a/internal/serve/core/core.go
+++ b/internal/serve/core/core.go
@@ -26,6 +26,7 @@
 	requests      map[piernotch.RequestID]*request // not released yet
 	exchanges     map[ExchangeID]*request          // requests without a response
 	openClientIDs map[string]struct{}              // the clientID of each request in exchanges
+	abandonedIDs  abandonedIDs
 
 	servers        map[piernotch.ServerID]*server
 	serversByName  map[string]*server
--- a/internal/serve/core/effects.go
+++ b/internal/serve/core/effects.go
@@ -96,9 +96,12 @@
 	// DuplicateID means that the request was not accepted, because its ID is that of another open
 	// request.
 	DuplicateID
+	// RepeatedID means that the request was not accepted, because its ID is that of a request whose client
+	// has left, and which a server may have executed.
+	RepeatedID
 )
 
-var resultNames = [...]string{"served", "rejected", "failed", "duplicate_id"}
+var resultNames = [...]string{"served", "rejected", "failed", "duplicate_id", "repeated_id"}
 
 // String returns the name of the result as it appears in the log.
 func (r Result) String() string { return resultNames[r] }
--- a/internal/serve/core/requests.go
+++ b/internal/serve/core/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"piernotch"
@@ -23,6 +24,7 @@
 	attempts      []*attempt
 	inflight      int  // attempts that have not completed
 	closed        bool // it has a response, or its client has disconnected
+	mayHaveRun    bool // a server may have executed an attempt that has completed
 	lastStatus    piernotch.Status
 	deadlineTimer *timingwheel.Timer
 }
@@ -38,6 +40,10 @@
 		c.emit(Respond{Exchange: event.Exchange, Result: DuplicateID, Close: c.shuttingDown})
 		return
 	}
+	if c.abandonedBefore(event) {
+		c.emit(Respond{Exchange: event.Exchange, Result: RepeatedID, Close: c.shuttingDown})
+		return
+	}
 	if c.shuttingDown {
 		event.Deadline = min(event.Deadline, c.respondBy)
 	}
@@ -87,11 +93,35 @@
 		slog.Debug("client disconnected", "id", request.clientID, "attempts", len(request.attempts),
 			"remaining_ms", (request.deadline - c.now).Milliseconds())
 	}
+	c.rememberAbandoned(request)
 	c.close(request)
 	c.balancer.ClientDisconnected(c.now, request.id)
 	c.release(request)
 }
 
+// rememberAbandoned remembers the ID of a request whose client has left, if a server may have executed it.
+func (c *Core) rememberAbandoned(request *request) {
+	if request.clientID != "" && request.mayHaveExecuted() {
+		c.abandonedIDs.add(c.now, request.clientID)
+	}
+}
+
+// abandonedBefore reports whether a request that must not be executed twice has the ID of one whose client has left and
+// that a server may have executed. The client may have sent it again because its connection was closed.
+func (c *Core) abandonedBefore(event RequestReceived) bool {
+	if event.ID == "" || event.Class >= len(c.settings.Classes) {
+		return false
+	}
+	idempotent := c.settings.Classes[event.Class].RetrySafety == piernotch.Idempotent
+	return !idempotent && c.abandonedIDs.contains(c.now, event.ID)
+}
+
+// mayHaveExecuted reports whether a server may have executed an attempt of the request.
+func (r *request) mayHaveExecuted() bool {
+	inflight := func(attempt *attempt) bool { return attempt.written && !attempt.completed }
+	return r.mayHaveRun || slices.ContainsFunc(r.attempts, inflight)
+}
+
 // failOverdue fails a request that the module has left without a response past its deadline. It does
 // not reject the request: that would promise that a repeat is safe, which is not known here.
 func (c *Core) failOverdue(request *request) {
--- a/internal/serve/downstream/response.go
+++ b/internal/serve/downstream/response.go
@@ -17,6 +17,7 @@
 const (
 	bodyRejected    = "refused: trying again is harmless\n"
 	bodyDuplicateID = "another open request has this X-Request-Id\n"
+	bodyRepeatedID  = "a request with this X-Request-Id may have run\n"
 	bodyFailed      = "failed: the request may have run\n"
 )
 
@@ -37,6 +38,8 @@
 		client.respondRejected(effect.RetryAfter)
 	case core.DuplicateID:
 		client.respond(http1.StatusConflict, nil, []byte(bodyDuplicateID))
+	case core.RepeatedID:
+		client.respond(http1.StatusConflict, nil, []byte(bodyRepeatedID))
 	default:
 		status := http1.StatusBadGateway
 		if effect.LastStatus == piernotch.Timeout {
--- a/internal/serve/runtime/client_disconnect_test.go
+++ b/internal/serve/runtime/client_disconnect_test.go
@@ -182,3 +182,22 @@
 	time.Sleep(100 * time.Millisecond)
 	require.Zero(t, forwarded.count("left"))
 }
+
+// A client leaves while a server works on its request, and sends the same request again. It must not be executed twice.
+func TestRequestOfAClientThatLeftIsNotExecutedTwice(t *testing.T) {
+	var forwarded requestLog
+	balancer, _ := startBalancer(t, startIdleDiscovery(t), startPeer(t, func(_ net.Conn, r *bufio.Reader) {
+		head, _ := readMessage(r)
+		forwarded.record(head)
+		_, _ = r.ReadByte() // until the balancer gives up
+	}))
+	c := connect(t, balancer)
+	c.send("POST /append HTTP/1.1\r\nHost: b\r\nX-Request-Id: again\r\nContent-Length: 0\r\n\r\n")
+	require.Eventually(t, func() bool { return forwarded.count("again") == 1 }, testTimeout, time.Millisecond)
+	_ = c.Close()
+	time.Sleep(50 * time.Millisecond)
+	head, body := connect(t, balancer).request("POST", "/append", "again", "")
+	require.Contains(t, head, "409 Conflict")
+	require.Contains(t, body, "may have run")
+	require.Equal(t, 1, forwarded.count("again"))
+}
