Send no attempt to another process at its server's address

Cause: an attempt waits for its connection by server ID and address. Whether it may still be written was asked by ID alone: a server that had moved, or restarted, meanwhile was available, and the attempt went to the old address, or to a process in slow start that it was not counted for. A connection in use while its server restarted became reusable again with the next attempt, and led to the earlier process. Class of bug: a name taken for an identity.

Change: an attempt remembers the process that it is meant for (address and start time, as listed), and is cancelled unwritten if another one is listed when it gets its connection; the request may then go elsewhere. A pool counts how often its connections became invalid, and reuses none that was dialed before. Related paths looked at: server IDs, health checks and overrides go by the listed name, handover records by process ID, start time and lock, leases by a random incarnation: each tells processes apart. Before discovery has told of a new process, nothing tells it.

--- a/internal/serve/core/attempts.go
+++ b/internal/serve/core/attempts.go
@@ -11,6 +11,7 @@
 // attempt is one attempt of a request, at one server.
 type attempt struct {
 	server    *server
+	process   serverProcess // that the attempt is meant for
 	startedAt time.Duration
 	written   bool // WriteAttempt was emitted, so the server may have executed the request
 	completed bool
@@ -35,7 +36,7 @@
 // MaxAttempts, the attempt completes as NotSent. A timeout of 0 means the request's deadline.
 func (c *Core) startAttempt(request *request, server *server, timeout time.Duration) {
 	number := AttemptNumber(len(request.attempts))
-	attempt := &attempt{server: server, startedAt: c.now}
+	attempt := &attempt{server: server, process: server.process(), startedAt: c.now}
 	request.attempts = append(request.attempts, attempt)
 	request.inflight++
 	if request.closed || int(number) >= c.settings.Limits.MaxAttempts {
@@ -61,15 +62,16 @@
 }
 
 // handleAttemptConnected emits WriteAttempt if the module still allows the attempt, and cancels it if
-// not. While the attempt waited for its connection, its server may have started to drain, or the
-// deduplication window for a retry may have closed.
+// not. While the attempt waited for its connection, its server may have started to drain, moved or
+// restarted, or the deduplication window for a retry may have closed.
 func (c *Core) handleAttemptConnected(event AttemptConnected) {
 	ref := event.Ref
 	request, attempt := c.findAttempt(ref)
 	if attempt == nil || attempt.written {
 		return
 	}
-	if !c.balancer.AttemptAllowed(c.now, ref.Request, int(ref.Number)) {
+	replaced := attempt.process != attempt.server.process()
+	if replaced || !c.balancer.AttemptAllowed(c.now, ref.Request, int(ref.Number)) {
 		c.cancelAttempt(request, ref.Number, piernotch.NotSent)
 		return
 	}
--- a/internal/serve/core/attempts_test.go
+++ b/internal/serve/core/attempts_test.go
@@ -97,3 +97,21 @@
 		require.Equal(t, Rejected, result, "within the window of its own retry, repeats do no harm")
 	}
 }
+
+// An attempt that waited for its connection while its server moved or restarted must not be sent: another process may
+// have come up at the address.
+func TestAttemptIsNotWrittenToAnotherProcess(t *testing.T) {
+	moved, restarted := listedServer(piernotch.Ready), listedServer(piernotch.Ready)
+	moved.Address = "127.0.0.1:9"
+	restarted.Endpoint.StartedAt = start - time.Second
+	for name, listed := range map[string]DiscoveredEndpoint{"moved": moved, "restarted": restarted} {
+		t.Run(name, func(t *testing.T) {
+			c := newCore(t)
+			attempt := receive(c)[0].(StartAttempt)
+			c.Handle(start, EndpointUpdate{Kind: piernotch.UpdateDelta, Endpoints: []DiscoveredEndpoint{listed}})
+			effects := c.Handle(start, AttemptConnected{attempt.Ref})
+			require.Contains(t, effects, CancelAttempt{attempt.Ref})
+			require.NotContains(t, effects, WriteAttempt{attempt.Ref})
+		})
+	}
+}
--- a/internal/serve/core/endpoints.go
+++ b/internal/serve/core/endpoints.go
@@ -23,6 +23,15 @@
 
 func (s *server) endpoint() Endpoint { return Endpoint{s.id, s.address} }
 
+// serverProcess tells one process of a server from the next.
+type serverProcess struct {
+	address   string
+	startedAt time.Duration // Unix time, as discovery lists it
+}
+
+// process returns the server's process as discovery last listed it.
+func (s *server) process() serverProcess { return serverProcess{s.address, s.start.listed} }
+
 // EndpointsKnown reports whether an endpoint update other than UpdateFailed has been received.
 func (c *Core) EndpointsKnown() bool { return c.endpointsKnown }
 
@@ -77,7 +86,7 @@
 	// Idle connections to a server that has moved, restarted or left the ready state must not be used
 	// again. The server might not have closed them: a machine that fails leaves them half-open.
 	isNew := server.address == ""
-	replaced := server.address != listed.Address || server.start.listed != listed.Endpoint.StartedAt
+	replaced := server.process() != serverProcess{listed.Address, listed.Endpoint.StartedAt}
 	if !isNew && (replaced || listed.Endpoint.State != piernotch.Ready) {
 		c.emit(CloseIdle{server.endpoint()})
 	}
--- a/internal/serve/upstream/connection.go
+++ b/internal/serve/upstream/connection.go
@@ -22,6 +22,7 @@
 type connection struct {
 	number          int // sequence number of its dial in this process, for the log
 	pool            *pool
+	generation      int // of the pool when the connection was dialed
 	socket          *eventloop.Conn
 	parser          *http1.Parser
 	attempt         *attempt      // nil: the connection is free
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -30,6 +30,9 @@
 	waiting  []*attempt    // longest waiting first
 	dials    int           // number of dials in progress
 	draining bool          // the server is draining or gone: connections are closed once free
+	// generation is the number of times that draining has started. Connections of an earlier generation are never
+	// reused: they may lead to an earlier process of the server, which now stands for another one at its address.
+	generation int
 }
 
 // acquire assigns the most recently used idle connection that can carry an attempt. If there is none, it queues the
@@ -86,9 +89,10 @@
 	p.dials++
 	p.upstream.ConnectionsOpened++
 	connection := &connection{
-		number: p.upstream.ConnectionsOpened,
-		pool:   p,
-		parser: http1.NewResponseParser(http1.MaxBody),
+		number:     p.upstream.ConnectionsOpened,
+		pool:       p,
+		generation: p.generation,
+		parser:     http1.NewResponseParser(http1.MaxBody),
 
 		requestMemory:  p.upstream.requestMemory.NewAccount(),
 		responseMemory: p.upstream.responseMemory.NewAccount(),
@@ -141,8 +145,12 @@
 
 // release gives a free connection to the attempt that has waited longest of those that it can carry. If there is
 // none, the connection becomes idle, or is closed if the pool is draining. Others are dialed for the attempts that it
-// cannot carry.
+// cannot carry. A connection of an earlier generation is closed.
 func (p *pool) release(connection *connection) {
+	if connection.generation != p.generation {
+		connection.closeAndReplace()
+		return
+	}
 	now := p.upstream.now()
 	carried := p.takeWaiting(func(waiting *attempt) bool { return connection.canCarry(waiting, now) })
 	switch {
@@ -159,10 +167,10 @@
 }
 
 // settle keeps a connection from reuse for settleTime after a response, or closes it
-// if the pool is draining.
+// if the pool is draining or the connection is of an earlier generation.
 func (p *pool) settle(connection *connection) {
-	if p.draining {
-		connection.close()
+	if p.draining || connection.generation != p.generation {
+		connection.closeAndReplace()
 		return
 	}
 	connection.lastActivity = p.upstream.now()
@@ -205,6 +213,7 @@
 // startDraining closes the free connections now, and the others once they are free.
 func (p *pool) startDraining() {
 	p.draining = true
+	p.generation++
 	p.closeFree()
 }
 
--- a/internal/serve/upstream/pool_test.go
+++ b/internal/serve/upstream/pool_test.go
@@ -117,3 +117,18 @@
 	_, _ = reader.WriteTo(io.Discard)
 	_ = conn.Close()
 }
+
+// A connection that was opened before its server restarted must not be reused: it leads to the earlier process.
+func TestConnectionToEarlierProcessIsNotReused(t *testing.T) {
+	f := newFixture(t)
+	earlier := f.startAttempt()
+	connection := f.accept()
+	connection.RequestHead()
+	f.Do(func() { f.upstream.CloseIdle(f.endpoint()) }) // as for a restart, while the connection is in use
+	later := f.startAttempt()                           // makes the pool's connections reusable again
+	f.accept()
+	connection.Send(emptyResponse)
+	require.Equal(t, core.AttemptCompleted{Ref: earlier, Response: &core.ResponseMessage{}}, <-f.Events)
+	connection.RequireClosed()
+	f.Do(func() { require.NotNil(t, f.upstream.attempts[later].connection) })
+}
