Draw crowds, low memory limits and taken-over addresses in the soak

Change: in half of the runs, drawn by a stream of its own, one or two crowds that misuse their connections come to one balancer for 2 to 4 s, with 32, 48 or 64 MB for each balancer; in a third new servers come up at the addresses of crashed ones.

--- a/cmd/piernotch-lab/soak.go
+++ b/cmd/piernotch-lab/soak.go
@@ -98,7 +98,7 @@
 	}
 	options := loadtest.Options{
 		Program: c.Program, Faults: plan.Steps, IdleClients: plan.Crowd, Sockets: plan.Sockets, KeepIdle: plan.KeepIdle,
-		SyscallFaults: plan.SystemCalls,
+		SyscallFaults: plan.SystemCalls, Crowds: plan.Crowds, MemoryMB: plan.MemoryMB,
 	}
 	if c.Logs != "" {
 		options.LogDir = filepath.Join(c.Logs, fmt.Sprint(seed))
--- a/internal/lab/load/crowd.go
+++ b/internal/lab/load/crowd.go
@@ -20,6 +20,20 @@
 // IsCrowdID reports whether an ID is that of a request of a crowd.
 func IsCrowdID(id string) bool { return strings.HasPrefix(id, CrowdIDPrefix) }
 
+// ScheduledCrowd is a crowd of a run.
+type ScheduledCrowd struct {
+	Kind        string        // the name of one of CrowdKinds
+	Clients     int           // per balancer
+	From, Until time.Duration // times of the run; Until 0: its end
+	Balancers   []int         // numbers of the balancers that it comes to; nil: all
+}
+
+// String describes the crowd.
+func (c ScheduledCrowd) String() string {
+	return fmt.Sprintf("%d clients with %s from %.1f s to %.1f s at balancers %v",
+		c.Clients, c.Kind, c.From.Seconds(), c.Until.Seconds(), c.Balancers)
+}
+
 // Crowd is a number of clients that all connect to balancers at once and misuse their connections in the same way.
 // Whenever a connection ends, its client opens another one. All exported fields are required.
 type Crowd struct {
--- a/internal/lab/load/crowd_kinds.go
+++ b/internal/lab/load/crowd_kinds.go
@@ -29,23 +29,25 @@
 	Name   string
 	pause  time.Duration                        // from the end of a connection to the next
 	misuse func(connection net.Conn, id string) // returns at the latest when the connection has ended
+	// FullSpeed says that a client sends as fast as it can, so that a few of them make a crowd.
+	FullSpeed bool
 }
 
 // CrowdKinds are all kinds of crowds. Their order must stay: seeds select kinds by their index.
 var CrowdKinds = []CrowdKind{
-	{"silence", patientPause, func(net.Conn, string) {}},
-	{"half bodies", impatientPause, sendHalfBody},
-	{"half chunks", impatientPause, sendHalfChunk},
-	{"slow bodies", impatientPause, sendSlowBody},
-	{"trickled bodies", impatientPause, trickleBody},
-	{"short fields", impatientPause, sendShortFields},
-	{"complete bodies", impatientPause, sendCompleteBody},
-	{"long bodies", impatientPause, sendLongBody},
-	{"empty lines", impatientPause, sendEmptyLines},
-	{"tiny chunks", impatientPause, sendTinyChunks},
-	{"pipelined requests", impatientPause, pipelineRequests},
-	{"unknown classes", impatientPause, requestUnknownClasses},
-	{"unread requests", impatientPause, sendAndLeave},
+	{"silence", patientPause, func(net.Conn, string) {}, false},
+	{"half bodies", impatientPause, sendHalfBody, false},
+	{"half chunks", impatientPause, sendHalfChunk, false},
+	{"slow bodies", impatientPause, sendSlowBody, false},
+	{"trickled bodies", impatientPause, trickleBody, false},
+	{"short fields", impatientPause, sendShortFields, false},
+	{"complete bodies", impatientPause, sendCompleteBody, false},
+	{"long bodies", impatientPause, sendLongBody, true},
+	{"empty lines", impatientPause, sendEmptyLines, true},
+	{"tiny chunks", impatientPause, sendTinyChunks, true},
+	{"pipelined requests", impatientPause, pipelineRequests, true},
+	{"unknown classes", impatientPause, requestUnknownClasses, true},
+	{"unread requests", impatientPause, sendAndLeave, true},
 }
 
 // NamedCrowdKind returns the kind with a name, or nil.
--- a/internal/lab/loadtest/crowd.go
+++ b/internal/lab/loadtest/crowd.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
+	"slices"
 
 	"piernotch/internal/lab/load"
 )
@@ -11,18 +11,11 @@
 // silence is the kind of the clients that Options.IdleClients counts.
 const silence = "silence"
 
-// Crowd is a crowd of clients that misuse their connections, at each balancer.
-type Crowd struct {
-	Kind        string        // the name of one of load.CrowdKinds
-	Clients     int           // per balancer
-	From, Until time.Duration // times of the run; Until 0: its end
-}
-
 // startCrowds schedules Options.Crowds and starts Options.IdleClients. All end with the context.
 func (e *environment) startCrowds(ctx context.Context) {
 	crowds := e.opts.Crowds
 	if e.opts.IdleClients > 0 {
-		crowds = append([]Crowd{{Kind: silence, Clients: e.opts.IdleClients}}, crowds...)
+		crowds = append([]load.ScheduledCrowd{{Kind: silence, Clients: e.opts.IdleClients}}, crowds...)
 	}
 	for i, crowd := range crowds {
 		kind := load.NamedCrowdKind(crowd.Kind)
@@ -31,6 +24,9 @@
 			continue
 		}
 		for _, target := range e.balancers {
+			if crowd.Balancers != nil && !slices.Contains(crowd.Balancers, target.number) {
+				continue
+			}
 			clients := &load.Crowd{
 				Kind:    kind,
 				Clients: crowd.Clients,
@@ -46,7 +42,7 @@
 const maxCrowds = 16
 
 // runCrowd plays a crowd that is due, until its end or that of the context.
-func runCrowd(ctx context.Context, clients *load.Crowd, crowd Crowd) {
+func runCrowd(ctx context.Context, clients *load.Crowd, crowd load.ScheduledCrowd) {
 	if crowd.Until > 0 {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, crowd.Until-crowd.From)
--- a/internal/lab/loadtest/crowd_test.go
+++ b/internal/lab/loadtest/crowd_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"piernotch/internal/lab/load"
 )
 
 // parallelCrowds limits the crowds that are played at the same time: each keeps more than one core busy.
@@ -17,7 +19,7 @@
 
 // besideCrowd describes a run of usual clients beside a crowd.
 type besideCrowd struct {
-	crowd      Crowd
+	crowd      load.ScheduledCrowd
 	memoryMB   int      // limit of the balancer
 	settings   []string // of the scenario
 	faults     string   // of the scenario
@@ -33,7 +35,7 @@
 	b.crowd.From = time.Second
 	realization := testRealization(t, b.faults, append([]string{"length_s=6", "clients.retries=0"}, b.settings...)...)
 	report, err := Run(context.Background(), realization, Options{
-		Program: program, MemoryMB: b.memoryMB, Crowds: []Crowd{b.crowd}, KeepIdle: b.keepIdle,
+		Program: program, MemoryMB: b.memoryMB, Crowds: []load.ScheduledCrowd{b.crowd}, KeepIdle: b.keepIdle,
 	})
 	require.NoError(t, err)
 	t.Logf("%+v, peak %.1f MB, lateness %.1f ms", report.Counts, report.PeakMB, report.LatenessMS)
@@ -58,7 +60,8 @@
 			t.Run(fmt.Sprintf("%s %d MB", kind, memoryMB), func(t *testing.T) {
 				t.Parallel()
 				besideCrowd{
-					crowd: Crowd{Kind: kind, Clients: 600}, memoryMB: memoryMB, overloaded: kind == "complete bodies",
+					crowd: load.ScheduledCrowd{Kind: kind, Clients: 600}, memoryMB: memoryMB,
+					overloaded: kind == "complete bodies",
 				}.play(t, program, slots)
 			})
 		}
@@ -76,7 +79,7 @@
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
 			besideCrowd{
-				crowd: Crowd{Kind: kind, Clients: 2}, memoryMB: 32,
+				crowd: load.ScheduledCrowd{Kind: kind, Clients: 2}, memoryMB: 32,
 				settings: []string{"class.*.deadline_ms=300", "class.*.aim_ms=200"},
 			}.play(t, program, slots)
 		})
@@ -103,7 +106,7 @@
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
 			besideCrowd{
-				crowd: Crowd{Kind: kind, Clients: 800}, memoryMB: 32,
+				crowd: load.ScheduledCrowd{Kind: kind, Clients: 800}, memoryMB: 32,
 				settings: []string{"traffic.rate_per_s=100"}, faults: repeatedResponses,
 			}.play(t, program, slots)
 		})
@@ -114,7 +117,8 @@
 func TestConnectionsOfOthersStayOpenBesideCrowd(t *testing.T) {
 	t.Parallel()
 	besideCrowd{
-		crowd: Crowd{Kind: "half bodies", Clients: 800}, memoryMB: 32, overloaded: true, keepIdle: time.Millisecond,
+		crowd: load.ScheduledCrowd{Kind: "half bodies", Clients: 800}, memoryMB: 32,
+		overloaded: true, keepIdle: time.Millisecond,
 		settings: []string{"traffic.rate_per_s=100"}, faults: repeatedResponses,
 	}.play(t, buildBalancer(t), make(chan struct{}, 1))
 }
--- a/internal/lab/loadtest/loadtest.go
+++ b/internal/lab/loadtest/loadtest.go
@@ -37,8 +37,9 @@
 	// SyscallFaults make system calls of each balancer process fail, on times since the start of that process. Each
 	// process draws from a seed of its own.
 	SyscallFaults syscallfault.Schedule
-	IdleClients   int     // idle clients per balancer; they reconnect when a balancer closes their connection
-	Crowds        []Crowd // clients that misuse their connections
+	IdleClients   int // idle clients per balancer; they reconnect when a balancer closes their connection
+	// Crowds are clients that misuse their connections.
+	Crowds []load.ScheduledCrowd
 	// KeepIdle is how long clients may reuse an idle connection; 0: the default of load.Clients.
 	KeepIdle time.Duration
 	LogDir   string // directory for configurations and logs; "": a temporary one that Run removes
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"piernotch/internal/lab/chaos"
+	"piernotch/internal/lab/load"
 	"piernotch/internal/lab/scenario"
 	"piernotch/internal/lab/syscallfault"
 )
@@ -38,6 +39,8 @@
 	KeepIdle    time.Duration // how long clients reuse an idle connection
 	Traits      []string      // descriptions of what was drawn
 	SystemCalls syscallfault.Schedule
+	Crowds      []load.ScheduledCrowd // clients that misuse their connections
+	MemoryMB    int                   // memory limit of each balancer; 0 means the default
 }
 
 // Draw draws the plan of a seed for a run of the given length. It fails if length is less than MinLength, or if the
@@ -49,6 +52,10 @@
 	drawn := &draft{rng: scenario.Stream(seed, "soak"), length: length}
 	drawn.drawSettings()
 	drawn.drawFaults()
+	crowds := drawCrowds(seed, length, drawn.balancers)
+	if crowds.takeover {
+		drawn.drawTakeover(scenario.Stream(seed, "soak takeover"))
+	}
 	parsed, err := scenario.Parse("soak", []byte(drawn.text.String()))
 	if err != nil {
 		return nil, err
@@ -62,6 +69,10 @@
 		plan.Crowd, plan.Sockets = crowdSockets, crowdSockets
 		plan.Traits = append(plan.Traits, "a crowd")
 	}
+	plan.Crowds, plan.MemoryMB = crowds.crowds, crowds.memoryMB
+	for _, crowd := range plan.Crowds {
+		plan.Traits = append(plan.Traits, fmt.Sprintf("%v, %d MB", crowd, plan.MemoryMB))
+	}
 	plan.SystemCalls = drawSystemCalls(seed, length)
 	for _, fault := range plan.SystemCalls.Faults {
 		plan.Traits = append(plan.Traits, fmt.Sprintf("%v in %.0f%% of the calls from %.1f s to %.1f s",
@@ -82,6 +93,8 @@
 	length time.Duration
 	text   strings.Builder
 	traits []string
+
+	balancers int
 }
 
 // chance returns true with a probability of 1/n.
@@ -103,6 +116,7 @@
 func (d *draft) drawSettings() {
 	d.line("include = \"base\"\nlength_s = %.0f", d.length.Seconds())
 	balancers, servers := 2+d.rng.IntN(4), 6+d.rng.IntN(7)
+	d.balancers = balancers
 	d.line("[balancers]\ncount = %d\nsecond_copies = %t\nmax_attempts = %d", balancers, !d.chance(3), 2+d.rng.IntN(3))
 	d.line("[fleet]\nservers = %d\ncell_size = 3", servers)
 	rate := pick(d, 1.0, 4.0, 15.0) * float64(balancers)
@@ -181,3 +195,10 @@
 		}
 	}
 }
+
+// drawTakeover draws servers that crash, with new ones that come up at their addresses.
+func (d *draft) drawTakeover(rng *rand.Rand) {
+	last := d.length.Seconds() - chaos.RecoveryTime.Seconds()
+	at := 1 + rng.Float64()*(last-4)
+	d.fault(scenario.FaultAddressTakeover, at, 1+2*rng.Float64(), "part = 0.3\nramp_s = 0.5")
+}
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -7,12 +7,13 @@
 	"github.com/stretchr/testify/require"
 
 	"piernotch/internal/lab/chaos"
+	"piernotch/internal/lab/load"
 )
 
 // Every seed must give a valid plan, the same each time, whose steps end early enough for the service to recover.
 func TestDrawGivesValidPlans(t *testing.T) {
 	actions := map[chaos.Action]int{}
-	crowds, systemCalls := 0, 0
+	crowds, systemCalls, misusing := 0, 0, 0
 	for seed := range uint64(300) {
 		plan, err := Draw(seed, MinLength)
 		require.NoError(t, err, "seed %d", seed)
@@ -33,6 +34,12 @@
 		if plan.Crowd > 0 {
 			crowds++
 		}
+		for _, crowd := range plan.Crowds {
+			misusing++
+			require.NotNil(t, load.NamedCrowdKind(crowd.Kind))
+			require.LessOrEqual(t, crowd.Until, MinLength-chaos.RecoveryTime)
+			require.Less(t, crowd.Balancers[0], len(plan.Realization.Balancers))
+		}
 	}
 	for _, action := range []chaos.Action{
 		chaos.FreezeLink, chaos.FaultLink, chaos.TerminateBalancer, chaos.ReloadBalancer, chaos.PauseBalancer,
@@ -42,6 +49,7 @@
 	}
 	require.Greater(t, crowds, 50)
 	require.Greater(t, systemCalls, 200)
+	require.Greater(t, misusing, 100)
 }
 
 func TestDrawRejectsShortRuns(t *testing.T) {
