--- a/internal/lab/soak/crowds.go
+++ b/internal/lab/soak/crowds.go
@@ -20,8 +20,7 @@
 // crowdDraw is what the crowds' stream of a seed decides.
 type crowdDraw struct {
 	crowds   []load.ScheduledCrowd
-	memoryMB int  // memory limit of each balancer; 0 means the default
-	takeover bool // new servers come up at the addresses of some that have crashed
+	memoryMB int // memory limit of each balancer; 0 means the default
 }
 
 // drawCrowds draws clients that misuse their connections at one of the balancers, in half of the runs, with a memory
@@ -29,7 +28,7 @@
 // it.
 func drawCrowds(seed uint64, length time.Duration, balancers int) crowdDraw {
 	rng := scenario.Stream(seed, "soak crowds")
-	drawn := crowdDraw{takeover: rng.IntN(3) == 0}
+	drawn := crowdDraw{}
 	if rng.IntN(2) == 0 {
 		return drawn
 	}
