Bound what one member of the control group can make a voter hold and do

Cause: each connection put as many events into one queue as it could, and when the queue was full, events of others were dropped, the voters' own among them. A frame's length was allocated before its data had come, and there was no time limit for it. Names had no limit but that of a frame, and leases none at all. Class of bug: a shared resource that each peer may take whole.

Change: of a connection, 16 frames may be unanswered; then nothing is read from it. The queue makes its sender wait and drops nothing. Buffers grow with what has come; a frame has 2 s from its first byte on; frames over 4 KiB share 16 MiB on all accepted connections, until they are handled. Names have 64 bytes at most, a member may ask for leases under its own name only, and hold 256; a group 16,384. Only configured voters may be added or send voters' messages. Requests pending when a stale store is replaced are answered.

--- a/internal/controlgroup/consensus/requests.go
+++ b/internal/controlgroup/consensus/requests.go
@@ -9,12 +9,18 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3"
 
+	"piernotch/internal/controlgroup"
 	"piernotch/internal/controlgroup/lease"
 	"piernotch/internal/controlgroup/protocol"
 )
 
-// maxPendingRequests bounds the pending requests at a leader; further requests are rejected with ErrOverloaded.
-const maxPendingRequests = 4096
+const (
+	// maxPendingRequests bounds the pending requests at a leader; further requests are rejected with ErrOverloaded.
+	maxPendingRequests = 4096
+	// maxLeases bounds the leases of the group, and controlgroup.MaxDuties those of a member; a request for one more is
+	// rejected with ErrOverloaded.
+	maxLeases = 16384
+)
 
 // requestSeq numbers the requests to one incarnation of a voter, from 1 on. 0 marks the leader's own proposals, which
 // no client waits for.
@@ -44,6 +50,8 @@
 		m.respond(request, lease.Grant{}, protocol.ErrNotLeader)
 	case len(m.pendingProposals)+len(m.pendingReads) >= maxPendingRequests:
 		m.respond(request, lease.Grant{}, protocol.ErrOverloaded)
+	case m.exceedsLeases(request):
+		m.respond(request, lease.Grant{}, protocol.ErrOverloaded)
 	case request.Kind == protocol.Propose && !m.heldByAnother(request.Command):
 		m.proposeCommand(request.Command, m.addPendingProposal(request))
 	case request.Kind == protocol.AddVoter:
@@ -62,6 +70,29 @@
 	return command.Op == lease.Acquire && held && grant.Holder != command.Process
 }
 
+// exceedsLeases reports whether a request asks for one lease too many.
+func (m *StateMachine) exceedsLeases(request protocol.Request) bool {
+	command := request.Command
+	if request.Kind != protocol.Propose || command.Op != lease.Acquire {
+		return false
+	}
+	if _, held := m.table.Holder(command.Duty); held {
+		return false
+	}
+	total, own := m.table.Count(command.Process.Name)
+	for _, pending := range m.pendingProposals { // may all be granted
+		other := pending.request.Command
+		if other.Op != lease.Acquire {
+			continue
+		}
+		total++
+		if other.Process.Name == command.Process.Name {
+			own++
+		}
+	}
+	return total >= maxLeases || own >= controlgroup.MaxDuties
+}
+
 // FreedDuties returns the duties whose lease was released, expired or transferred since the last call, so that the
 // caller can notify waiting processes. Only the leader records them.
 func (m *StateMachine) FreedDuties() []lease.Duty {
--- a/internal/controlgroup/lease/table.go
+++ b/internal/controlgroup/lease/table.go
@@ -104,6 +104,16 @@
 	return g, held
 }
 
+// Count returns the number of leases, and of those that processes of a name hold.
+func (t *Table) Count(name string) (total, held int) {
+	for _, grant := range t.grants {
+		if grant.Holder.Name == name {
+			held++
+		}
+	}
+	return len(t.grants), held
+}
+
 // Snapshot is the content of a Table in the form in which it is stored and sent.
 type Snapshot struct {
 	LastToken Token   `cbor:"1,keyasint"`
--- a/internal/controlgroup/transport/connection.go
+++ b/internal/controlgroup/transport/connection.go
@@ -9,7 +9,9 @@
 
 const (
 	handshakeTimeout = 2 * time.Second // for connecting, and again for exchanging handshakes
+	readTimeout      = 2 * time.Second // for each frame, from its first byte on
 	writeTimeout     = 2 * time.Second // for each frame
+	smallFrame       = 4 << 10         // bytes; a larger frame is charged to a FrameBudget
 	sendQueueSize    = 256             // frames; further ones are dropped
 	maxIdleBuffer    = 64 << 10        // bytes; a larger write buffer is not reused
 )
@@ -101,11 +103,43 @@
 
 // Read blocks until it has the next frame. On an error it closes the connection.
 func (c *Conn) Read() (Frame, error) {
-	frame, err := Read(c.reader)
+	frame, _, err := c.ReadWithin(nil)
+	return frame, err
+}
+
+// ReadWithin is Read for one of many connections, whose larger frames together are bounded by a budget; nil: they are
+// not. release must be called once the frame is not needed any more; it is never nil.
+func (c *Conn) ReadWithin(budget *FrameBudget) (frame Frame, release func(), err error) {
+	frame, release, err = c.readWithin(budget)
 	if err != nil {
 		c.Close()
 	}
-	return frame, err
+	return frame, release, err
+}
+
+func (c *Conn) readWithin(budget *FrameBudget) (frame Frame, release func(), err error) {
+	release = func() {}
+	if _, err := c.reader.Peek(1); err != nil { // for any time: the peer may have nothing to say
+		return Frame{}, release, err
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(readTimeout))
+	defer func() { _ = c.nc.SetReadDeadline(time.Time{}) }()
+	announced, err := readHeader(c.reader)
+	if err != nil {
+		return Frame{}, release, err
+	}
+	if budget != nil && announced.length > smallFrame {
+		release, err = budget.acquire(announced.length)
+		if err != nil {
+			return Frame{}, release, err
+		}
+	}
+	frame, err = announced.readFrame(c.reader)
+	if err != nil {
+		release()
+		release = func() {}
+	}
+	return frame, release, err
 }
 
 // Done returns a channel that is closed with the connection.
--- a/internal/controlgroup/transport/frame.go
+++ b/internal/controlgroup/transport/frame.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -92,25 +93,45 @@
 // Read reads one frame. If the header is incomplete, it returns the reader's error, such as io.EOF. All other
 // errors wrap ErrInvalidFrame.
 func Read(reader io.Reader) (Frame, error) {
-	var frame Frame
-	var header [headerSize]byte
-	if _, err := io.ReadFull(reader, header[:]); err != nil {
-		return frame, err
+	announced, err := readHeader(reader)
+	if err != nil {
+		return Frame{}, err
+	}
+	return announced.readFrame(reader)
+}
+
+// header is what precedes the data of a frame.
+type header struct {
+	length   int // bytes of data
+	checksum uint64
+}
+
+// readHeader reads a header, and rejects lengths above maxFrameSize.
+func readHeader(reader io.Reader) (header, error) {
+	var encoded [headerSize]byte
+	if _, err := io.ReadFull(reader, encoded[:]); err != nil {
+		return header{}, err
 	}
-	length := binary.BigEndian.Uint32(header[:lengthSize])
-	checksum := binary.BigEndian.Uint64(header[lengthSize:])
+	length := binary.BigEndian.Uint32(encoded[:lengthSize])
 	if length > maxFrameSize {
-		return frame, fmt.Errorf("%w: its length, %d bytes, exceeds the limit of %d",
+		return header{}, fmt.Errorf("%w: its length, %d bytes, exceeds the limit of %d",
 			ErrInvalidFrame, length, maxFrameSize)
 	}
-	data := make([]byte, length)
-	if _, err := io.ReadFull(reader, data); err != nil {
+	return header{length: int(length), checksum: binary.BigEndian.Uint64(encoded[lengthSize:])}, nil
+}
+
+// readFrame reads the data behind the header and decodes the frame.
+func (h header) readFrame(reader io.Reader) (Frame, error) {
+	var frame Frame
+	// The buffer grows with what has arrived: an announced length alone must not occupy memory.
+	var data bytes.Buffer
+	if _, err := io.CopyN(&data, reader, int64(h.length)); err != nil {
 		return frame, fmt.Errorf("%w: truncated: %w", ErrInvalidFrame, err)
 	}
-	if xxhash.Sum64(data) != checksum {
+	if xxhash.Sum64(data.Bytes()) != h.checksum {
 		return frame, fmt.Errorf("%w: checksum mismatch", ErrInvalidFrame)
 	}
-	if err := decoder.Unmarshal(data, &frame); err != nil {
+	if err := decoder.Unmarshal(data.Bytes(), &frame); err != nil {
 		return frame, fmt.Errorf("%w: %w", ErrInvalidFrame, err)
 	}
 	return frame, nil
--- a/internal/controlgroup/transport/handshake.go
+++ b/internal/controlgroup/transport/handshake.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 
+	"piernotch/internal/controlgroup"
 	"piernotch/internal/controlgroup/protocol"
 )
 
@@ -51,6 +52,8 @@
 	switch {
 	case peer == nil || peer.Magic != magic:
 		return fmt.Errorf("%w: the first frame is not a handshake", ErrInvalidFrame)
+	case !controlgroup.ValidName(peer.Name):
+		return fmt.Errorf("%w: a name of %d bytes", ErrInvalidFrame, len(peer.Name))
 	case peer.Version != Version:
 		return fmt.Errorf("%w: %q uses version %d, this program version %d",
 			ErrIncompatiblePeer, peer.Name, peer.Version, Version)
--- a/internal/controlgroup/validate.go
+++ b/internal/controlgroup/validate.go
@@ -23,7 +23,8 @@
 	v.errs = append(v.errs, &FieldError{Key: key, Err: fmt.Errorf(format, args...)})
 }
 
-func validName(s string) bool { return s != "" && len(s) <= MaxNameLength }
+// ValidName reports whether a name of a group, a member or a duty has a valid length.
+func ValidName(name string) bool { return name != "" && len(name) <= MaxNameLength }
 
 // Validate returns an error for each invalid setting, without File and Line, or none if the configuration is
 // usable.
@@ -39,10 +40,10 @@
 }
 
 func (c *Config) validateMember(found *validation) {
-	if !validName(c.Name) {
+	if !ValidName(c.Name) {
 		found.addf("name", "%q, a name of up to %d bytes is expected", c.Name, MaxNameLength)
 	}
-	if !validName(c.Self) {
+	if !ValidName(c.Self) {
 		found.addf("self", "%q, this balancer's name in the group is expected", c.Self)
 	}
 }
@@ -62,7 +63,7 @@
 		if err != nil || net.ParseIP(host) == nil {
 			found.addf("voter", "%s: address %q is not an IP address and port", voter.Name, voter.Address)
 		}
-		if !validName(voter.Name) || names[voter.Name] || addresses[voter.Address] {
+		if !ValidName(voter.Name) || names[voter.Name] || addresses[voter.Address] {
 			found.addf("voter", "%q at %s: names and addresses must be unique", voter.Name, voter.Address)
 		}
 		names[voter.Name] = true
@@ -88,10 +89,10 @@
 }
 
 func (c *Config) validateWatch(found *validation) {
-	if c.WatchDuty != "" && !validName(c.WatchDuty) {
+	if c.WatchDuty != "" && !ValidName(c.WatchDuty) {
 		found.addf("watch", "%q is not a valid name", c.WatchDuty)
 	}
-	if c.DiscoveryName != "" && (!validName(c.DiscoveryName) || c.WatchDuty == "") {
+	if c.DiscoveryName != "" && (!ValidName(c.DiscoveryName) || c.WatchDuty == "") {
 		found.addf("source", "%q: a name is expected, and only together with watch", c.DiscoveryName)
 	}
 }
@@ -101,7 +102,7 @@
 		found.addf("duties", "%d, at most %d are expected", len(c.Duties), MaxDuties)
 	}
 	for _, duty := range c.Duties {
-		if !validName(duty) {
+		if !ValidName(duty) {
 			found.addf("duties", "%q is not a valid name", duty)
 		}
 	}
--- a/internal/controlgroup/voter/connections.go
+++ b/internal/controlgroup/voter/connections.go
@@ -21,6 +21,9 @@
 	redialInterval   = 250 * time.Millisecond
 	acceptRetryDelay = 20 * time.Millisecond // after a failed accept, as when no file descriptors are left
 	maxAcceptedConns = 1024                  // from clients and voters together; further connections are closed at once
+	// maxUnhandled is the number of frames of a connection that are read before the first of them has been handled and,
+	// if it is a request, responded to. One client can keep others waiting for so many.
+	maxUnhandled = 16
 )
 
 // link is the outgoing connection to another voter.
@@ -68,7 +71,7 @@
 		peer.conn = conn
 		v.handshakes[peer.to.Name] = conn.Peer
 	})
-	v.readFrames(conn)
+	v.readFrames(conn, nil) // at a configured address
 	v.post(func() {
 		if peer.conn == conn {
 			peer.conn = nil
@@ -121,29 +124,54 @@
 		slog.Warn("group: connection rejected", "from", netConn.RemoteAddr(), "err", err)
 		return
 	}
-	v.readFrames(conn)
+	v.readFrames(conn, v.frameBudget)
 	v.post(func() { v.removeConn(conn) })
 }
 
-// readFrames posts a connection's frames to the event loop until the connection ends or ctx is canceled.
-func (v *Voter) readFrames(conn *transport.Conn) {
+// readFrames passes the frames of a connection to the event loop until the connection ends or the voter does. budget
+// bounds the larger frames of all connections that share it.
+func (v *Voter) readFrames(conn *transport.Conn, budget *transport.FrameBudget) {
 	stopClosing := context.AfterFunc(v.ctx, conn.Close)
 	defer stopClosing()
 	defer conn.Close()
+	unhandled := make(chan struct{}, maxUnhandled)
 	for {
-		frame, err := conn.Read()
+		select {
+		case unhandled <- struct{}{}:
+		case <-conn.Done():
+			return
+		}
+		frame, release, err := conn.ReadWithin(budget)
+		if err == nil {
+			err = checkRequest(conn.Peer.Name, frame.Request)
+		}
 		if err != nil {
+			release()
 			if errors.Is(err, transport.ErrInvalidFrame) {
 				slog.Warn("group: connection closed", "name", conn.Peer.Name, "err", err)
 			}
 			return
 		}
-		switch {
-		case frame.VoterMessage != nil:
-			v.post(func() { v.receive(conn, frame.VoterMessage) })
-		case frame.Request != nil:
-			v.post(func() { v.handleRequest(conn, frame.Request) })
-		}
+		v.postFrame(conn, frame, func() {
+			release()
+			<-unhandled
+		})
+	}
+}
+
+// postFrame passes a frame to the event loop. handled is called once the frame has been handled and, if it is a
+// request, responded to.
+func (v *Voter) postFrame(conn *transport.Conn, frame transport.Frame, handled func()) {
+	switch {
+	case frame.VoterMessage != nil:
+		v.post(func() {
+			v.receive(conn, frame.VoterMessage)
+			handled()
+		})
+	case frame.Request != nil:
+		v.post(func() { v.handleRequest(conn, frame.Request, handled) })
+	default:
+		handled()
 	}
 }
 
@@ -187,7 +215,8 @@
 // receive passes another voter's message to the state machine. It ignores a message to another ID than this voter's,
 // such as the ID of a replaced file, and a message from another ID than that of the connection's peer.
 func (v *Voter) receive(conn *transport.Conn, encoded *transport.VoterMessage) {
-	if v.stateMachine == nil || encoded.To != v.ownHandshake().ID || encoded.From != conn.Peer.ID {
+	fromVoter := v.isVoterName(conn.Peer.Name) && encoded.From == conn.Peer.ID
+	if v.stateMachine == nil || encoded.To != v.ownHandshake().ID || !fromVoter {
 		return
 	}
 	message := consensus.Message{
--- a/internal/controlgroup/voter/loop.go
+++ b/internal/controlgroup/voter/loop.go
@@ -9,15 +9,14 @@
 const (
 	tickInterval = 100 * time.Millisecond // of the state machine's logical clock
 	joinInterval = time.Second            // between two requests to be added to the group
-	maxEvents    = 4096                   // queued for the event loop; further events are dropped
+	maxEvents    = 4096                   // queued for the event loop
 )
 
-// post queues an event for the event loop. When the queue is full it drops the event, like a frame lost on a bad link.
+// post queues an event for the event loop, and waits while the queue is full. It must not be called by the event loop.
 func (v *Voter) post(event func()) {
 	select {
 	case v.events <- event:
 	case <-v.ctx.Done():
-	default:
 	}
 }
 
--- a/internal/controlgroup/voter/requests.go
+++ b/internal/controlgroup/voter/requests.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 
+	"piernotch/internal/controlgroup"
 	"piernotch/internal/controlgroup/lease"
 	"piernotch/internal/controlgroup/protocol"
 	"piernotch/internal/controlgroup/transport"
@@ -15,19 +17,51 @@
 	maxNotified = 4    // waiters notified per freed duty; more would be a thundering herd, since only one gets the duty
 )
 
+// checkRequest checks what a member may ask for: names of valid length, and leases for itself only. The error wraps
+// transport.ErrInvalidFrame. request may be nil.
+func checkRequest(member string, request *transport.Request) error {
+	if request == nil {
+		return nil
+	}
+	command := &request.Command
+	ownLease := request.Kind == protocol.Propose || request.Kind == protocol.Renew || request.Kind == protocol.Publish
+	usesDuty := ownLease || request.Kind == protocol.Read || request.Kind == protocol.Subscribe
+	switch {
+	case usesDuty && !controlgroup.ValidName(string(command.Duty)):
+		return fmt.Errorf("%w: a duty's name of %d bytes", transport.ErrInvalidFrame, len(command.Duty))
+	case ownLease && command.Process.Name != member:
+		return fmt.Errorf("%w: a lease of another member", transport.ErrInvalidFrame)
+	case command.Op == lease.Transfer && !controlgroup.ValidName(command.Successor.Name):
+		return fmt.Errorf("%w: a successor's name of %d bytes", transport.ErrInvalidFrame, len(command.Successor.Name))
+	}
+	return nil
+}
+
+// isVoterName reports whether a name is that of a configured voter.
+func (v *Voter) isVoterName(name string) bool {
+	return slices.ContainsFunc(v.config.Voters, func(voter controlgroup.Voter) bool { return voter.Name == name })
+}
+
 // handleRequest serves a client's request, or passes it to the state machine. The state machine's response is sent
-// later, if the client is still connected.
-func (v *Voter) handleRequest(conn *transport.Conn, request *transport.Request) {
-	if v.stateMachine == nil {
-		v.respond(conn, request, protocol.Response{Err: protocol.ErrNotLeader})
-		return
+// later, if the client is still connected. handled is called after the response.
+func (v *Voter) handleRequest(conn *transport.Conn, request *transport.Request, handled func()) {
+	respond := func(response protocol.Response) {
+		v.respond(conn, request, response)
+		handled()
 	}
-	if request.Kind == protocol.Publish || request.Kind == protocol.Subscribe {
-		v.respond(conn, request, protocol.Response{Err: v.publishOrSubscribe(conn, request)})
+	switch {
+	case v.stateMachine == nil:
+		respond(protocol.Response{Err: protocol.ErrNotLeader})
+		return
+	case request.Kind == protocol.Publish || request.Kind == protocol.Subscribe:
+		respond(protocol.Response{Err: v.publishOrSubscribe(conn, request)})
+		return
+	case request.Kind == protocol.AddVoter && !v.isVoterName(request.Voter.Name):
+		respond(protocol.Response{Err: protocol.ErrNameInUse})
 		return
 	}
 	v.lastKey++
-	v.pending[v.lastKey] = func(response protocol.Response) { v.respond(conn, request, response) }
+	v.pending[v.lastKey] = respond
 	v.stateMachine.Propose(v.now(), protocol.Request{
 		Key:     v.lastKey,
 		Kind:    request.Kind,
@@ -60,6 +94,14 @@
 	}
 }
 
+// failPending responds to all requests that the state machine will not respond to any more.
+func (v *Voter) failPending() {
+	for key, respond := range v.pending {
+		delete(v.pending, key)
+		respond(protocol.Response{Err: protocol.ErrOutcomeUnknown})
+	}
+}
+
 func (v *Voter) addWaiter(duty lease.Duty, conn *transport.Conn) {
 	waiting := v.waiters[duty]
 	if len(waiting) < maxWaiters && !slices.Contains(waiting, conn) {
--- a/internal/controlgroup/voter/store.go
+++ b/internal/controlgroup/voter/store.go
@@ -128,6 +128,7 @@
 	quarantined, err := consensus.Quarantine(v.config.StorePath)
 	slog.Error("group: voter file stale, quarantined", "quarantined", quarantined)
 	v.stateMachine = nil
+	v.failPending()
 	if err == nil {
 		err = v.openStore()
 	}
--- a/internal/controlgroup/voter/voter.go
+++ b/internal/controlgroup/voter/voter.go
@@ -37,6 +37,8 @@
 	goroutines sync.WaitGroup // all goroutines of this voter
 	events     chan func()    // the queue of the event loop
 
+	frameBudget *transport.FrameBudget // of the accepted connections
+
 	mu        sync.Mutex
 	handshake transport.Handshake // sent on every new connection; guarded by mu
 	accepted  int                 // open connections that were accepted; guarded by mu
@@ -67,6 +69,7 @@
 		config:        cfg,
 		startedAt:     time.Now(),
 		events:        make(chan func(), maxEvents),
+		frameBudget:   transport.NewFrameBudget(),
 		links:         map[string]*link{},
 		handshakes:    map[string]transport.Handshake{},
 		pending:       map[uint64]func(protocol.Response){},
