Wake the poller again while connections wait for their registration

If the write to the eventfd that wakes the poller failed, a new connection was registered only with the next one.

Change: each tick wakes the poller again while registrations wait.

Result: TestConnectionIsRegisteredThoughWakeFails, which never registered before, passes three times with -race.

--- a/internal/serve/eventloop/loop.go
+++ b/internal/serve/eventloop/loop.go
@@ -143,6 +143,9 @@
 		if gap > LongStallThreshold {
 			time.Sleep(longStallReadTime)
 		}
+		if ticked {
+			l.registrar.retryWake()
+		}
 		batch = l.mailbox.take(batch)
 		if stalled {
 			prioritize(batch)
--- a/internal/serve/eventloop/registration.go
+++ b/internal/serve/eventloop/registration.go
@@ -53,9 +53,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.opened = append(r.opened, register)
+	r.wakeLocked()
+}
+
+// retryWake wakes the poller if there are registrations to be made: a call that should have done so may have failed.
+func (r *registrar) retryWake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.opened)+len(r.due) > 0 {
+		r.wakeLocked()
+	}
+}
+
+// wakeLocked makes the eventfd readable. The caller holds mu.
+func (r *registrar) wakeLocked() {
 	var one [8]byte
 	binary.NativeEndian.PutUint64(one[:], 1)
-	_, _ = syscall.Write(r.wake, one[:]) // fails only if the poller is to be woken already
+	_, _ = syscall.Write(r.wake, one[:]) // see retryWake
 }
 
 // run calls the registrations that were added before its last call, which was in an earlier batch. The eventfd stays
--- a/internal/serve/eventloop/registration_test.go
+++ b/internal/serve/eventloop/registration_test.go
@@ -133,3 +133,20 @@
 	eventually(func() bool { return received() == 1 || len(next.end) > 0 })
 	require.Empty(t, next.end)
 }
+
+// A call that should wake the poller fails. The connection must be registered all the same.
+func TestConnectionIsRegisteredThoughWakeFails(t *testing.T) {
+	l, err := New(64)
+	require.NoError(t, err)
+	registered := make(chan struct{})
+	l.registrar.mu.Lock()
+	l.registrar.opened = append(l.registrar.opened, func() { close(registered) }) // as add does, without the call
+	l.registrar.mu.Unlock()
+	stop := startLoop(t, l, func() {})
+	defer stop()
+	select {
+	case <-registered:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "not registered")
+	}
+}
