Look for the slowest large request among large ones alone

Cause: while memory for requests is used up, each rejection went through all connections: 31% of the processor time beside 800 clients in a profile.

Change: the connections whose request is charged are kept in a set.

Tests of downstream pass with -race.

--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -62,7 +62,7 @@
 // forget removes an ended connection, and what it holds, from the Downstream.
 func (c *connection) forget() {
 	delete(c.downstream.connections, c)
-	c.requestMemory.SetHeld(0)
+	c.holdRequest(0)
 	c.responseMemory.SetHeld(0)
 }
 
@@ -158,7 +158,7 @@
 	delete(c.downstream.pending, c.exchange)
 	c.downstream.emit(core.ClientDisconnected{Exchange: c.exchange})
 	c.exchange = 0
-	c.requestMemory.SetHeld(0)
+	c.holdRequest(0)
 }
 
 // startClose stops serving requests on the connection: what has been received and further
@@ -168,7 +168,7 @@
 	c.closing = true
 	c.socket.DiscardInput()
 	c.parser.Discard()
-	c.requestMemory.SetHeld(0)
+	c.holdRequest(0)
 	c.closeWriteIfSent()
 }
 
--- a/internal/serve/downstream/downstream.go
+++ b/internal/serve/downstream/downstream.go
@@ -24,6 +24,7 @@
 	tenants  []piernotch.Tenant
 
 	connections  map[*connection]struct{}
+	charged      map[*connection]struct{}        // connections whose request is charged to requestMemory
 	pending      map[core.ExchangeID]*connection // connections whose request waits for a response
 	lastExchange core.ExchangeID
 
@@ -60,6 +61,7 @@
 		requestMemory:  options.RequestMemory,
 		responseMemory: options.ResponseMemory,
 		connections:    map[*connection]struct{}{},
+		charged:        map[*connection]struct{}{},
 		pending:        map[core.ExchangeID]*connection{},
 	}
 	downstream.SetMaxDescriptors(options.MaxDescriptors)
--- a/internal/serve/downstream/memory_pressure.go
+++ b/internal/serve/downstream/memory_pressure.go
@@ -18,7 +18,7 @@
 	if message != nil {
 		held += message.Size()
 	}
-	c.requestMemory.SetHeld(int64(held))
+	c.holdRequest(int64(held))
 	if !c.downstream.requestMemory.Fits() {
 		c.rejectForMemory()
 	}
@@ -31,8 +31,8 @@
 func (d *Downstream) rejectSlowestRequest() bool {
 	var slowest *connection
 	now := d.now()
-	for client := range d.connections {
-		if !client.receivesChargedRequest() {
+	for client := range d.charged {
+		if client.exchange != 0 {
 			continue
 		}
 		if slowest == nil || client.receiveRate(now) < slowest.receiveRate(now) {
@@ -46,9 +46,14 @@
 	return true
 }
 
-// receivesChargedRequest reports whether the connection holds a charged request that the core does not know of.
-func (c *connection) receivesChargedRequest() bool {
-	return c.exchange == 0 && !c.closing && c.requestMemory.Charged() > 0
+// holdRequest records how many bytes the connection holds of a request.
+func (c *connection) holdRequest(bytes int64) {
+	c.requestMemory.SetHeld(bytes)
+	if c.requestMemory.Charged() > 0 {
+		c.downstream.charged[c] = struct{}{}
+	} else {
+		delete(c.downstream.charged, c)
+	}
 }
 
 // receiveRate returns the mean rate at which a request in progress has arrived so far, in charged bytes per second.
@@ -69,7 +74,7 @@
 			"held", c.requestMemory.Charged(), "phase_ms", (now - c.phaseStart).Milliseconds())
 	}
 	c.parser.Discard()
-	c.requestMemory.SetHeld(0)
+	c.holdRequest(0)
 	c.closeAfterResponse = true
 	c.respondRejected(0)
 }
--- a/internal/serve/downstream/response.go
+++ b/internal/serve/downstream/response.go
@@ -102,7 +102,7 @@
 // respond writes the response to the request in progress. If closeAfterResponse is set, the
 // response announces the close, and the connection starts to close.
 func (c *connection) respond(status int, fields http1.Fields, body []byte) {
-	c.requestMemory.SetHeld(0)
+	c.holdRequest(0)
 	if c.closeAfterResponse {
 		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
 	}
