Take no input for a request behind a response that could not be written

Cause: respond began to close the connection only after a successful write. A write that failed left it open for input until the close was noticed.

Change: a failed write ends the input as well, whatever the response was.

--- a/internal/serve/downstream/memory_pressure_test.go
+++ b/internal/serve/downstream/memory_pressure_test.go
@@ -73,6 +73,23 @@
 	require.Zero(t, f.usedMemory())
 }
 
+// What arrives behind a request that was rejected is not a request, also if the client did not get the response.
+func TestInputBehindARejectedRequestIsIgnoredThoughTheClientIsGone(t *testing.T) {
+	f := newFixture(t, testDescriptors)
+	f.connect().sendHalfBody("rejected")
+	require.Eventually(t, func() bool { return f.usedMemory() > 0 }, time.Minute, time.Millisecond)
+	badRequests := -1
+	f.Do(func() {
+		for connection := range f.downstream.connections {
+			connection.socket.Close()
+			connection.rejectForMemory()
+			connection.Data([]byte("not a request\r\n\r\n"))
+		}
+		badRequests = f.downstream.badRequests
+	})
+	require.Zero(t, badRequests)
+}
+
 // Whatever way a request ends, its memory must be free again.
 func TestMemoryIsReleasedHoweverARequestEnds(t *testing.T) {
 	for name, end := range map[string]func(client *testClient){
--- a/internal/serve/downstream/response.go
+++ b/internal/serve/downstream/response.go
@@ -108,7 +108,8 @@
 	}
 	c.phaseStart = c.downstream.now()
 	if c.socket.Write(http1.AppendResponse(nil, status, fields, body)) != nil {
-		return // the connection is gone; Closed will be called
+		c.closing = true // the connection is gone; Closed will be called
+		return
 	}
 	if !c.chargeResponse() {
 		return
