--- a/internal/lab/loadtest/syscallfault_test.go
+++ b/internal/lab/loadtest/syscallfault_test.go
@@ -63,15 +63,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			// Second responses make balancers use connections once, so that calls on new ones fail as well.
-			realization := testRealization(t, `
-[[trouble]]
-kind = "response_twice"
-at_s = 0
-for_s = 6
-part = 0.1
-size = 20
-`, "length_s=6", "traffic.rate_per_s=150")
+			realization := testRealization(t, repeatedResponses, "length_s=6", "traffic.rate_per_s=150")
 			report, err := Run(context.Background(), realization, Options{
 				Program:       program,
 				KeepIdle:      5 * time.Millisecond,
