Count a request from its arrival also while the poller lags behind

The balancer had told the server 232 ms more than was left.

Cause: a request's age was taken from the kernel only where its connection had waited in the accept queue. Input that lay in the kernel because the poller was busy with that of others counted as new when it was read.

Change: while the poller is busy, a probe (the eventfd of the registrar) passes through its batches of events. What had arrived before the probe was sent has been read once the batch behind the next one is handled; this bounds the age of whatever is read. Above the threshold of a stall the kernel is asked for the age, and the bound holds where the kernel does not say.

--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -140,11 +140,11 @@
 }
 
 // arrivalTime returns the earliest time at which a request that is complete now may have arrived. It allows for stalls
-// of the process and for the time in the accept queue.
+// of the process, for the time in the accept queue and for a poller that lags behind.
 func (c *connection) arrivalTime() time.Duration {
 	waited := c.socket.InputAge()
 	if waited > 0 {
-		slog.Debug("request waited in the accept queue", "waited_ms", waited.Milliseconds())
+		slog.Debug("request waited unread", "waited_ms", waited.Milliseconds())
 	}
 	return min(c.downstream.arrivalTime(), c.downstream.now()-waited)
 }
--- a/internal/serve/eventloop/accept_queue.go
+++ b/internal/serve/eventloop/accept_queue.go
@@ -72,13 +72,20 @@
 }
 
 // InputAge returns how long the input that was received last has waited, and 0 unless the connection waited in the
-// accept queue. The kernel measures it in milliseconds. If the kernel does not say, InputAge returns the longest time
-// that is possible.
+// accept queue or the poller lags behind. The kernel measures it in milliseconds. If the kernel does not say, InputAge
+// returns the longest time that is possible.
 func (c *Conn) InputAge() time.Duration {
-	if c.waitingSince.IsZero() {
+	now := time.Now()
+	longest := c.loop.registrar.lag(now)
+	if longest <= stallThreshold {
+		longest = 0
+	}
+	if !c.waitingSince.IsZero() {
+		longest = max(longest, now.Sub(c.waitingSince))
+	}
+	if longest == 0 {
 		return 0
 	}
-	longest := time.Since(c.waitingSince)
 	measured := longest
 	valid := c.useDescriptor(func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
--- a/internal/serve/eventloop/connection.go
+++ b/internal/serve/eventloop/connection.go
@@ -26,6 +26,7 @@
 
 // Conn is a TCP connection. Its methods must be called on the owning goroutine.
 type Conn struct {
+	loop        *Loop
 	socket      *nbio.Conn
 	handler     Handler
 	openCount   *atomic.Int64 // counter that includes the connection while it is open; nil once released
--- a/internal/serve/eventloop/dial.go
+++ b/internal/serve/eventloop/dial.go
@@ -52,7 +52,7 @@
 			l.Post(func() { done(nil, err) })
 			return
 		}
-		connection := &Conn{openCount: &l.open, dialed: true}
+		connection := &Conn{loop: l, openCount: &l.open, dialed: true}
 		l.Post(func() {
 			if err := connection.takeOver(dialed); err != nil {
 				_ = dialed.Close()
--- a/internal/serve/eventloop/listener.go
+++ b/internal/serve/eventloop/listener.go
@@ -177,7 +177,7 @@
 // handOff passes an accepted connection to the owning goroutine. waitingSince is that of the accept queue.
 func (l *Listener) handOff(accepted net.Conn, waitingSince time.Time) {
 	l.open.Add(1)
-	connection := &Conn{openCount: l.open, waitingSince: waitingSince}
+	connection := &Conn{loop: l.loop, openCount: l.open, waitingSince: waitingSince}
 	acceptedAt := time.Now()
 	l.loop.Post(func() { l.register(accepted, connection, acceptedAt) })
 }
--- a/internal/serve/eventloop/loop.go
+++ b/internal/serve/eventloop/loop.go
@@ -32,6 +32,9 @@
 	LongStallThreshold = 100 * time.Millisecond
 	longStallReadTime  = 20 * time.Millisecond
 
+	// busyReads is the number of reads between two ticks above which the poller may lag behind.
+	busyReads = 16
+
 	// maxWriteBuffer limits the outgoing bytes that a connection queues while the kernel does not
 	// accept them.
 	maxWriteBuffer = 512 << 10
@@ -53,6 +56,7 @@
 	registrar       *registrar
 	mailbox         mailbox
 	readBuffer      []byte       // used by the poller only
+	reads           atomic.Int64 // by the poller, since the last tick
 	open            atomic.Int64 // connections open or being dialed, without those of admin listeners
 	descriptorLimit atomic.Int64 // limit on open; ReservedDescriptors are already subtracted
 }
@@ -122,6 +126,7 @@
 	defer ticker.Stop()
 	var batch []message
 	lastRun := time.Now()
+	l.registrar.tick(lastRun, false)
 	for {
 		ticked := false
 		select {
@@ -144,7 +149,7 @@
 			time.Sleep(longStallReadTime)
 		}
 		if ticked {
-			l.registrar.retryWake()
+			l.registrar.tick(now, l.reads.Swap(0) > busyReads)
 		}
 		batch = l.mailbox.take(batch)
 		if stalled {
--- a/internal/serve/eventloop/poller.go
+++ b/internal/serve/eventloop/poller.go
@@ -73,6 +73,7 @@
 	l.mailbox.mu.Unlock()
 	defer connection.unhandled.Add(-1)
 	for reads := 1; ; reads++ {
+		l.reads.Add(1)
 		size, err := socket.Read(l.readBuffer)
 		switch {
 		case errors.Is(err, syscall.EINTR):
--- a/internal/serve/eventloop/registration.go
+++ b/internal/serve/eventloop/registration.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
@@ -23,9 +24,10 @@
 type registrar struct {
 	wake int // the eventfd
 
-	mu     sync.Mutex
-	opened []func() // registrations of connections opened since the last batch in which run was called
-	due    []func() // registrations for the next call of run
+	mu       sync.Mutex
+	opened   []func() // registrations of connections opened since the last batch in which run was called
+	due      []func() // registrations for the next call of run
+	progress pollProgress
 }
 
 func newRegistrar() (*registrar, error) {
@@ -56,20 +58,29 @@
 	r.wakeLocked()
 }
 
-// retryWake wakes the poller if there are registrations to be made: a call that should have done so may have failed.
-func (r *registrar) retryWake() {
+// tick must be called at intervals. It measures the progress of the poller, which is idle or busy, and wakes it while
+// registrations are to be made: a call that should have done so may have failed.
+func (r *registrar) tick(now time.Time, busy bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.opened)+len(r.due) > 0 {
+	r.progress.tick(now, busy)
+	if len(r.opened)+len(r.due) > 0 || r.progress.probing() {
 		r.wakeLocked()
 	}
 }
 
+// lag returns for how long input that the poller has read at the time now may have been waiting to be read.
+func (r *registrar) lag(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.progress.caughtUp)
+}
+
 // wakeLocked makes the eventfd readable. The caller holds mu.
 func (r *registrar) wakeLocked() {
 	var one [8]byte
 	binary.NativeEndian.PutUint64(one[:], 1)
-	_, _ = syscall.Write(r.wake, one[:]) // see retryWake
+	_, _ = syscall.Write(r.wake, one[:]) // see tick
 }
 
 // run calls the registrations that were added before its last call, which was in an earlier batch. The eventfd stays
@@ -86,7 +97,8 @@
 	defer r.mu.Unlock()
 	due := r.due
 	r.due, r.opened = r.opened, nil
-	if len(r.due) == 0 {
+	r.progress.batch()
+	if len(r.due) == 0 && !r.progress.probing() {
 		var count [8]byte
 		_, _ = syscall.Read(r.wake, count[:]) // resets it
 	}
--- a/internal/serve/eventloop/registration_test.go
+++ b/internal/serve/eventloop/registration_test.go
@@ -112,7 +112,7 @@
 		number := descriptor(closed.conn)
 		occupyDescriptorsBelow(t, number)
 		closed.conn.Close()
-		connection := &Conn{openCount: &l.open}
+		connection := &Conn{loop: l, openCount: &l.open}
 		l.open.Add(1)
 		require.NoError(t, connection.takeOver(dialed))
 		require.Equal(t, number, descriptor(connection))
