--- a/internal/controlgroup/failpoint/faults.go
+++ b/internal/controlgroup/failpoint/faults.go
@@ -14,7 +14,7 @@
 	NoFence              Fault = "no-fence"              // a receiver accepts every token
 	FenceForgotten       Fault = "fence-forgotten"       // a receiver loses its fence's tokens when it restarts
 	NoLeaseCheck         Fault = "no-look"               // a holder does not check its lease before it acts
-	WallClock            Fault = "wall-clock"            // a process measures leases by a clock that can be set
+	WallClock            Fault = "settable-clock"        // a process measures leases by a clock that can be set
 	CountedFromResponse  Fault = "counted-from-answer"   // a holder's lease counts from the response, not the request
 	DriftIgnored         Fault = "drift-ignored"         // a holder does not shorten its lease for clock drift
 	TokenReused          Fault = "token-reused"          // a token is granted twice
