Close idle connections to servers while clients wait for their descriptors

Cause: connections to servers that earlier requests had left idle stayed open for up to 45 s and held 118 of the 168 descriptors that clients and servers share.

Change: while the listener is at its limit, idle connections to servers beyond a quarter of the descriptors, the quarter that is kept for servers anyway, are closed, those idle longest first. Clients thus have at least half of the descriptors, apart from those of requests in progress.

Measured: TestIdleServerConnectionsLeaveDescriptorsToClients failed before (16 stay open for 10 s) and passes.

--- a/internal/serve/eventloop/listener.go
+++ b/internal/serve/eventloop/listener.go
@@ -48,11 +48,14 @@
 		loop:       l,
 		newHandler: newHandler,
 		open:       &l.open,
-		limit:      func() int64 { return l.descriptorLimit.Load() * clientShareQuarters / 4 },
+		limit:      func() int64 { return clientLimit(l.descriptorLimit.Load()) },
 		shed:       func() { l.ShedClients() },
 	}
 }
 
+// clientLimit returns the number of open connections up to which clients are accepted.
+func clientLimit(descriptorLimit int64) int64 { return descriptorLimit * clientShareQuarters / 4 }
+
 // AdminListener returns a listener whose connections are counted separately. shed must close one of
 // them when maxConnections are open.
 func (l *Loop) AdminListener(maxConnections int, newHandler func(*Conn) Handler, shed func()) *Listener {
--- a/internal/serve/eventloop/loop.go
+++ b/internal/serve/eventloop/loop.go
@@ -205,6 +205,13 @@
 	}
 }
 
+// ServerShare returns the number of connections to servers that have room beside as many clients as
+// the listener accepts.
+func (l *Loop) ServerShare() int {
+	limit := l.descriptorLimit.Load()
+	return int(limit - clientLimit(limit))
+}
+
 // OpenConnections returns the number of connections that are open or being dialed, without those of
 // admin listeners. It may be called from any goroutine.
 func (l *Loop) OpenConnections() int { return int(l.open.Load()) }
--- a/internal/serve/runtime/balancer.go
+++ b/internal/serve/runtime/balancer.go
@@ -246,17 +246,19 @@
 	b.downstream.Stalled(gap)
 }
 
-// shedClients logs a shortage of descriptors and closes client connections that can be spared.
+// shedClients logs a shortage of descriptors. It closes client connections that can be spared, and idle connections to
+// servers that use more than their share of the descriptors.
 func (b *Balancer) shedClients() {
 	if now := b.now(); now-b.shedLogged > shedLogInterval {
 		b.shedLogged = now
 		slog.Warn("descriptor limit reached", "open", b.loop.OpenConnections())
 	}
 	b.downstream.Shed(b.listener.QueueTime())
+	b.upstream.Shed(b.loop.ServerShare())
 }
 
-// shedAll does the same as shedClients, and closes idle connections to servers as well.
+// shedAll does the same as shedClients, and closes all idle connections to servers.
 func (b *Balancer) shedAll() {
 	b.shedClients()
-	b.upstream.Shed()
+	b.upstream.Shed(0)
 }
--- a/internal/serve/runtime/load_shedding_test.go
+++ b/internal/serve/runtime/load_shedding_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,3 +123,33 @@
 		_ = c.Close()
 	}
 }
+
+// Idle connections to servers must not keep clients in the accept queue.
+func TestIdleServerConnectionsLeaveDescriptorsToClients(t *testing.T) {
+	const (
+		descriptors = 64
+		limit       = descriptors - eventloop.ReservedDescriptors
+	)
+	var open, responses atomic.Int64
+	server := startPeer(t, func(c net.Conn, in *bufio.Reader) {
+		open.Add(1)
+		defer open.Add(-1)
+		for head, _ := readMessage(in); head != ""; head, _ = readMessage(in) {
+			respond(c, fmt.Sprint(responses.Add(1)))
+		}
+	})
+	balancer, _ := startBalancerWith(t, func(cfg *config.Config) { cfg.MaxDescriptors = descriptors },
+		startIdleDiscovery(t), server)
+	for range limit / 2 { // equal requests, each of which therefore gets a connection of its own
+		c := connect(t, balancer)
+		c.request("GET", "/read", "1", "")
+		require.NoError(t, c.Close())
+	}
+	require.Greater(t, open.Load(), int64(limit/4))
+
+	for range limit { // silent, so that some wait
+		connect(t, balancer)
+	}
+	closed := func() bool { return open.Load() <= limit/4 }
+	require.Eventually(t, closed, testTimeout/2, 10*time.Millisecond)
+}
--- a/internal/serve/upstream/timeouts_test.go
+++ b/internal/serve/upstream/timeouts_test.go
@@ -89,6 +89,12 @@
 	return open
 }
 
+// idle returns the idle connections to the endpoint.
+func (f *fixture) idle() (idle []*connection) {
+	f.Do(func() { idle = f.upstream.poolFor(f.endpoint()).idle })
+	return idle
+}
+
 // advance waits until all input was read, moves the clock forward, and calls Tick, which enforces the timeouts.
 func (f *fixture) advance(by time.Duration) {
 	f.t.Helper()
@@ -260,7 +266,9 @@
 	f.requireServed(ref, "second")
 	f.advance(settleTime)
 
-	f.Do(f.upstream.Shed)
+	f.Do(func() { f.upstream.Shed(1) }) // the only idle one may stay
+	require.Len(t, f.idle(), 1)
+	f.Do(func() { f.upstream.Shed(0) })
 	idle.RequireClosed()
 	used.Send(emptyResponse)
 	require.Equal(t, core.AttemptCompleted{Ref: other, Response: &core.ResponseMessage{}}, <-f.Events)
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -119,11 +121,20 @@
 	}
 }
 
-// Shed closes the idle connections to all endpoints to free descriptors. Connections
-// that are in use or still settling stay open.
-func (u *Upstream) Shed() {
+// Shed closes idle connections to free descriptors, until at most keep are left: those
+// that have been idle longest. Connections that are in use or still settling stay open.
+func (u *Upstream) Shed(keep int) {
+	var idle []*connection
 	for _, pool := range u.pools {
-		pool.closeOldestIdle(len(pool.idle))
+		idle = append(idle, pool.idle...)
+	}
+	excess := len(idle) - keep
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(idle, func(a, b *connection) int { return cmp.Compare(a.lastActivity, b.lastActivity) })
+	for _, connection := range idle[:excess] {
+		connection.pool.closeOldestIdle(1)
 	}
 }
 
