Count the time in the accept queue when silent clients are shed

Callers saw: beside silent clients that come back at once, others waited in the accept queue for long: 256 of them kept a health check waiting for 714 ms at 64 descriptors and 187 ms at 128 (median of 100).

Cause: a connection that sends nothing may be closed, while descriptors are short, once it has been silent for 50 ms. The time was counted from the accept, although the connection had been in the queue, silent, for longer: clients left the queue at no more than one for each descriptor in 50 ms.

Change: the time counts from the connect, which the kernel measures. What such a client had sent would have arrived by then; a connection with unread input is not closed, as before. Incomplete requests still count from when they are read, because a large one may wait for its window to open.

TestSilentTimeInTheAcceptQueueCounts failed before.

--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -26,8 +26,8 @@
 	requestMemory  memory.Account // for the request in progress, until it has its response
 	responseMemory memory.Account // for the unsent part of responses
 
-	// phaseStart is when the current phase began. A phase begins when the connection
-	// is accepted, when a request's first byte arrives, when a response is written, and
+	// phaseStart is when the current phase began. A phase begins when the client
+	// connects, when a request's first byte is read, when a response is written, and
 	// when the sending side is closed.
 	phaseStart time.Duration
 }
--- a/internal/serve/downstream/downstream.go
+++ b/internal/serve/downstream/downstream.go
@@ -103,7 +103,7 @@
 		downstream:     d,
 		socket:         socket,
 		parser:         http1.NewRequestParser(),
-		phaseStart:     d.now(),
+		phaseStart:     d.now() - socket.InputAge(),
 		requestMemory:  d.requestMemory.NewAccount(),
 		responseMemory: d.responseMemory.NewAccount(),
 	}
--- a/internal/serve/downstream/shedding.go
+++ b/internal/serve/downstream/shedding.go
@@ -14,7 +14,7 @@
 // their next request is probably in transit.
 const (
 	shedMinLingering = 100 * time.Millisecond // until then, the client's close is probably in transit
-	shedMinSilent    = 50 * time.Millisecond
+	shedMinSilent    = 50 * time.Millisecond  // since the client connected
 	shedMinPartial   = 500 * time.Millisecond
 	shedMinIdle      = 100 * time.Millisecond
 )
@@ -31,7 +31,7 @@
 type shedClass int
 
 const (
-	shedUnused  shedClass = iota // lingering, or silent since it was accepted
+	shedUnused  shedClass = iota // lingering, or silent since the client connected
 	shedPartial                  // its request has been incomplete for at least shedMinPartial or shedMinPartialQueued
 	shedIdle                     // between two requests
 	shedClassCount
--- a/internal/serve/downstream/shedding_test.go
+++ b/internal/serve/downstream/shedding_test.go
@@ -58,6 +58,22 @@
 	require.Equal(t, 2, f.connectionCount())
 }
 
+// Clients that have been silent since they connected must not hold others up once more when they leave the accept queue.
+func TestSilentTimeInTheAcceptQueueCounts(t *testing.T) {
+	const resolution = 10 * time.Millisecond // of the kernel's measure
+	f := newFixture(t, testDescriptors)
+	f.queueClients(0)
+	f.dial()
+	time.Sleep(shedMinSilent + resolution)
+	f.SetDescriptorLimit(testDescriptors)
+	for range 2 { // with the client that checks the health
+		<-f.accepted
+	}
+	f.awaitRead()
+	f.shed(0)
+	require.Equal(t, 1, f.connectionCount())
+}
+
 // Half requests that fill the descriptors must not keep complete ones in the accept queue until they are overdue.
 func TestIncompleteRequestsAreShedSoonerWhileClientsWait(t *testing.T) {
 	f := newFixture(t, testDescriptors)
