Look for unread input only of connections that are about to be shed

Cause: each look for connections to close, up to 200 a second while descriptors are short, asked the kernel for the input of every idle or silent connection, also if 16 of them were closed at most.

Change: the connections are ordered first, and asked when their turn comes. One with unread input is left out, as before.

--- a/internal/serve/downstream/shedding.go
+++ b/internal/serve/downstream/shedding.go
@@ -36,7 +36,7 @@
 	shedIdle                     // between two requests
 	shedClassCount
 
-	shedNever shedClass = -1 // in use, with unread input, or in its phase for less than the minimum time
+	shedNever shedClass = -1 // in use, or in its phase for less than the minimum time
 )
 
 // Shed closes up to maxShedPerCall connections to free descriptors: the lowest
@@ -57,15 +57,23 @@
 	remaining := maxShedPerCall
 	for _, connections := range candidates {
 		slices.SortFunc(connections, func(a, b *connection) int { return cmp.Compare(a.phaseStart, b.phaseStart) })
-		for _, client := range connections[:min(remaining, len(connections))] {
-			client.closeNow(closeShed)
-			remaining--
+		for _, client := range connections {
+			if remaining == 0 {
+				return
+			}
+			if client.sparable() {
+				client.closeNow(closeShed)
+				remaining--
+			}
 		}
 	}
 }
 
-// shedClass returns the connection's class, or shedNever if Shed must not close it. minPartial is how long a request
-// must have been incomplete.
+// sparable reports whether the connection has no unread input. That of a lingering one is discarded anyway.
+func (c *connection) sparable() bool { return c.writeClosed || c.socket.InputEmpty() }
+
+// shedClass returns the connection's class, or shedNever if Shed must not close it. It does not look for unread input:
+// see sparable. minPartial is how long a request must have been incomplete.
 func (c *connection) shedClass(now, minPartial time.Duration) shedClass {
 	age := now - c.phaseStart
 	switch {
@@ -73,11 +81,11 @@
 		return shedUnused
 	case c.closing || c.exchange != 0 || c.socket.UnsentBytes() > 0:
 		return shedNever
-	case !c.receivedData && age >= shedMinSilent && c.socket.InputEmpty():
+	case !c.receivedData && age >= shedMinSilent:
 		return shedUnused
-	case !c.parser.Idle() && age >= minPartial && c.socket.InputEmpty():
+	case !c.parser.Idle() && age >= minPartial:
 		return shedPartial
-	case c.receivedData && c.parser.Idle() && age >= shedMinIdle && c.socket.InputEmpty():
+	case c.receivedData && c.parser.Idle() && age >= shedMinIdle:
 		return shedIdle
 	}
 	return shedNever
