--- a/internal/serve/downstream/shedding_test.go
+++ b/internal/serve/downstream/shedding_test.go
@@ -58,7 +58,7 @@
 	require.Equal(t, 2, f.connectionCount())
 }
 
-// Clients that have been silent since they connected must not hold others up once more when they leave the accept queue.
+// Clients that have been silent since they connected must not hold others up again when they leave the accept queue.
 func TestSilentTimeInTheAcceptQueueCounts(t *testing.T) {
 	const resolution = 10 * time.Millisecond // of the kernel's measure
 	f := newFixture(t, testDescriptors)
--- a/internal/serve/eventloop/accept_queue.go
+++ b/internal/serve/eventloop/accept_queue.go
@@ -73,7 +73,8 @@
 
 // InputAge returns how long the input that was received last has waited or, if none was, how long the peer has been
 // silent since it connected. It returns 0 unless the connection waited in the accept queue or the poller lags behind.
-// The kernel measures it in milliseconds. If the kernel does not say, InputAge returns the longest time that is possible.
+// The kernel measures it in milliseconds. If the kernel does not say, InputAge returns the longest time that is
+// possible.
 func (c *Conn) InputAge() time.Duration {
 	now := time.Now()
 	longest := c.loop.registrar.lag(now)
