Count the time in the accept queue when half requests are shed

Callers saw: beside 400 clients with half requests at 256 descriptors, others waited 196 ms in the accept queue (median of 100); beside 256 at 64 descriptors, about a second.

Cause: as for silent clients, the age of an incomplete request counted from when it was read, also if it had stopped in the accept queue long before.

Change: the age counts from the arrival of its first bytes, if they are at most 2 KiB. The client of a longer one may itself have waited, for room in the receive buffer, and counts from the read as before.

--- a/internal/serve/downstream/connection.go
+++ b/internal/serve/downstream/connection.go
@@ -27,8 +27,8 @@
 	responseMemory memory.Account // for the unsent part of responses
 
 	// phaseStart is when the current phase began. A phase begins when the client
-	// connects, when a request's first byte is read, when a response is written, and
-	// when the sending side is closed.
+	// connects, when a request's first bytes arrive (see waitedUnread), when a response is
+	// written, and when the sending side is closed.
 	phaseStart time.Duration
 }
 
@@ -45,13 +45,22 @@
 		return
 	}
 	if c.parser.Idle() {
-		c.phaseStart = c.downstream.now()
+		c.phaseStart = c.downstream.now() - c.waitedUnread(data)
 	}
 	c.receivedData = true
 	c.parser.Feed(data)
 	c.serveParsed()
 }
 
+// waitedUnread returns how long the beginning of a request has waited to be read. That of a large one does not count:
+// its client may have waited for room in the receive buffer.
+func (c *connection) waitedUnread(beginning []byte) time.Duration {
+	if len(beginning) > memory.Allowance {
+		return 0
+	}
+	return c.socket.InputAge()
+}
+
 // Closed implements eventloop.Handler: the connection has ended, so a pending
 // request can no longer get a response.
 func (c *connection) Closed(error) {
--- a/internal/serve/downstream/shedding_test.go
+++ b/internal/serve/downstream/shedding_test.go
@@ -58,20 +58,25 @@
 	require.Equal(t, 2, f.connectionCount())
 }
 
-// Clients that have been silent since they connected must not hold others up again when they leave the accept queue.
-func TestSilentTimeInTheAcceptQueueCounts(t *testing.T) {
-	const resolution = 10 * time.Millisecond // of the kernel's measure
-	f := newFixture(t, testDescriptors)
-	f.queueClients(0)
-	f.dial()
-	time.Sleep(shedMinSilent + resolution)
-	f.SetDescriptorLimit(testDescriptors)
-	for range 2 { // with the client that checks the health
-		<-f.accepted
+// Clients that have been silent since they connected, or have stopped in a request, must not hold others up again when
+// they leave the accept queue.
+func TestTimeInTheAcceptQueueCountsForShedding(t *testing.T) {
+	for sent, minAge := range map[string]time.Duration{"": shedMinSilent, "GET /read": shedMinPartialQueued} {
+		t.Run(sent, func(t *testing.T) {
+			const resolution = 10 * time.Millisecond // of the kernel's measure
+			f := newFixture(t, testDescriptors)
+			f.queueClients(0)
+			f.dialAndSend(sent)
+			time.Sleep(minAge + resolution)
+			f.SetDescriptorLimit(testDescriptors)
+			for range 2 { // with the client that checks the health
+				<-f.accepted
+			}
+			f.awaitRead()
+			f.shed(longQueueTime)
+			require.Equal(t, 1, f.connectionCount())
+		})
 	}
-	f.awaitRead()
-	f.shed(0)
-	require.Equal(t, 1, f.connectionCount())
 }
 
 // Half requests that fill the descriptors must not keep complete ones in the accept queue until they are overdue.
