Remove an unused method of crowds, and keep the prefix of their IDs private

Cause: added Crowd.Connections, which nothing calls, and exported a constant that only its own file uses. Change: the method is gone, the constant is not exported. No behaviour changes.

--- a/internal/lab/load/crowd.go
+++ b/internal/lab/load/crowd.go
@@ -11,14 +11,14 @@
 	"time"
 )
 
-// CrowdIDPrefix begins the IDs of all requests of crowds. No invariant is checked for them.
-const CrowdIDPrefix = "crowd-"
+// crowdIDPrefix begins the IDs of all requests of crowds. No invariant is checked for them.
+const crowdIDPrefix = "crowd-"
 
 // crowdDialTimeout limits the wait of a client of a crowd for its connection.
 const crowdDialTimeout = time.Second
 
 // IsCrowdID reports whether an ID is that of a request of a crowd.
-func IsCrowdID(id string) bool { return strings.HasPrefix(id, CrowdIDPrefix) }
+func IsCrowdID(id string) bool { return strings.HasPrefix(id, crowdIDPrefix) }
 
 // ScheduledCrowd is a crowd of a run.
 type ScheduledCrowd struct {
@@ -42,12 +42,9 @@
 	Pick    PickBalancer
 	Seed    uint64
 
-	connections atomic.Int64
+	connections atomic.Int64 // opened so far; numbers the IDs
 }
 
-// Connections returns the number of connections that were opened so far.
-func (c *Crowd) Connections() int { return int(c.connections.Load()) }
-
 // Run plays the crowd until the context ends.
 func (c *Crowd) Run(ctx context.Context) {
 	var clients sync.WaitGroup
@@ -74,7 +71,7 @@
 	if err != nil {
 		return
 	}
-	id := fmt.Sprintf("%s%x-%d", CrowdIDPrefix, c.Seed, c.connections.Add(1))
+	id := fmt.Sprintf("%s%x-%d", crowdIDPrefix, c.Seed, c.connections.Add(1))
 	if tcp, ok := connection.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // or the machine would run out of ports
 	}
