review: case 7, discovery that begins its versions anew beyond the known one

Cause: the watcher notices lost versions only where the new generation is below the old one. Change: the case as a script; the group's stand-in shares its clients.

--- a/review/_standin-2/common.go
+++ b/review/_standin-2/common.go
@@ -310,22 +310,30 @@
 }
 
 // restart ends discovery and its calls, and has it listen again a second later. Meanwhile a server has left. If lost is
-// true, discovery then counts its versions from a lower one, and has no changes before it.
+// true, discovery has lost its list and versions, and the other servers have registered anew: it has the given generation
+// then, which is above their number.
 func (d *discovery) restart(gone string, lost bool, generation int) error {
 	address := d.listener.Addr().String()
 	_ = d.server.Close()
 	d.run.note("discovery is down")
 	time.Sleep(time.Second)
 	d.mu.Lock()
-	for i := range d.instances {
-		entry := &d.instances[i]
-		if entry.ID == gone {
+	left := d.instances[:0:0]
+	for i, entry := range d.instances {
+		switch {
+		case entry.ID != gone && lost:
+			d.changedAt[entry.ID] = i + 1 // each registers anew
+		case entry.ID == gone && lost:
+			continue // discovery has never heard of it
+		case entry.ID == gone:
 			entry.Lifecycle = terminated
 			d.changedAt[gone] = d.generation + 1
 		}
-		if lost {
-			d.changedAt[entry.ID] = generation
-		}
+		left = append(left, entry)
+	}
+	d.instances = left
+	if lost { // then the first of them changes once more
+		d.changedAt[left[0].ID] = generation
 	}
 	d.generation++
 	if lost {
@@ -402,7 +410,7 @@
 }
 
 func main() {
-	cases := map[string]func(*run) int{"6": knownAhead}
+	cases := map[string]func(*run) int{"6": knownAhead, "7": versionsAnew}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE")
 		os.Exit(cannotRun)
--- a/review/_standin-2/group.go
+++ b/review/_standin-2/group.go
@@ -6,7 +6,6 @@
 	"os/exec"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -143,23 +142,5 @@
 
 // load asks a balancer rate times a second until stop is closed. IDs begin with the balancer's name.
 func (g *group) load(number, rate int, stop <-chan struct{}) {
-	var next atomic.Int64
-	ticker := time.NewTicker(time.Second / time.Duration(rate))
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-ticker.C:
-		}
-		go func() {
-			id := fmt.Sprintf("n%d-%d", number, next.Add(1))
-			status, body, err := ask(g.balancer[number], http.MethodGet, "/segment-read", id, 4*time.Second)
-			if err != nil {
-				g.run.note("client %s: %v", id, err)
-				return
-			}
-			g.run.note("client %s: %d %s", id, status, strings.TrimSpace(body))
-		}()
-	}
+	askAlways(g.run, g.balancer[number], fmt.Sprintf("n%d", number), rate, stop)
 }
