--- a/review/_standin-2/group.go
+++ b/review/_standin-2/group.go
@@ -141,6 +141,6 @@
 }
 
 // load asks a balancer rate times a second until stop is closed. IDs begin with the balancer's name.
-func (g *group) load(number, rate int, stop <-chan struct{}) {
+func (g *group) load(number int, rate float64, stop <-chan struct{}) {
 	askAlways(g.run, g.balancer[number], fmt.Sprintf("n%d", number), rate, stop)
 }
--- a/review/_standin-2/known_ahead.go
+++ b/review/_standin-2/known_ahead.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// knownAhead plays case 6. Three balancers share a watch. n1 is stopped in order, for a planned restart. Meanwhile
+// knownAhead plays a case: Three balancers share a watch. n1 is stopped in order, for a planned restart. Meanwhile
 // discovery is restarted, and one server leaves its list. With the trouble, discovery has lost its versions: it counts
 // from a lower one. Once n0 and n2 have the new list, and one of them holds the watch, n1 starts again, with the list that
 // it had last as its known list. It must not send to the server that is gone for longer than the rule on drains allows.
--- a/review/_standin-2/versions_anew.go
+++ b/review/_standin-2/versions_anew.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 )
 
-// versionsAnew plays case 7. One balancer, as the platform starts it, watches discovery. Discovery is restarted, and one
+// versionsAnew plays a case: One balancer, as the platform starts it, watches discovery. Discovery is restarted, and one
 // server has left. With the trouble, discovery has lost its versions, and the servers that are left have registered
 // anew, which has brought it past the balancer's version. The balancer must not send to the server that is gone for longer
 // than the rule on drains allows.
@@ -79,16 +80,15 @@
 `, listen, discovery)
 }
 
-// askAlways asks a balancer rate times a second until stop is closed. IDs begin with the balancer's name.
-func askAlways(r *run, address, name string, rate int, stop <-chan struct{}) {
+// askAlways asks a balancer rate times a second in the mean, at random times, until stop is closed. IDs begin with the
+// balancer's name.
+func askAlways(r *run, address, name string, rate float64, stop <-chan struct{}) {
 	var next atomic.Int64
-	ticker := time.NewTicker(time.Second / time.Duration(rate))
-	defer ticker.Stop()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-ticker.C:
+		case <-time.After(time.Duration(rand.ExpFloat64() * float64(time.Second) / rate)):
 		}
 		go func() {
 			id := fmt.Sprintf("%s-%d", name, next.Add(1))
