review: case 7, a late second answer that differs is served to the next request

Cause: a second answer is known only where it equals an earlier one on its connection. Change: the case and its stand-in; the shared watch's case is now 9.

--- a/review/_standin-2/common.go
+++ b/review/_standin-2/common.go
@@ -410,7 +410,7 @@
 }
 
 func main() {
-	cases := map[string]func(*run) int{"6": neverAgain, "7": knownAhead, "8": versionsAnew}
+	cases := map[string]func(*run) int{"6": neverAgain, "7": secondAnswer, "8": versionsAnew, "9": knownAhead}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE")
 		os.Exit(cannotRun)
