--- a/review/_standin-2/second_answer.go
+++ b/review/_standin-2/second_answer.go
@@ -87,7 +87,7 @@
 // secondAnswer plays a case: a server answers a read twice, the second time some milliseconds late and with a newer
 // reading. No client may get an answer that was not made for its request.
 func secondAnswer(r *run) int {
-	const servers, balancers, clients, many = 6, 3, 8, 20
+	const servers, balancers, clients, many = 6, 4, 12, 20
 	addresses := freeAddresses(servers + balancers + 1)
 	var instances []instance
 	for i := range servers {
