--- a/review/_standin-2/common.go
+++ b/review/_standin-2/common.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -136,12 +137,14 @@
 	}
 }
 
-// freeAddresses returns free loopback addresses.
+// freeAddresses returns free addresses of a loopback address of their own, so that no outgoing connection takes one of
+// them before it is used.
 func freeAddresses(count int) []string {
 	var addresses []string
 	var listeners []net.Listener
+	host := fmt.Sprintf("127.%d.%d.%d", 16+rand.IntN(200), rand.IntN(256), 1+rand.IntN(250))
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			panic(err)
 		}
